--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -1,10 +1,13 @@
 #include "EventLog.h"
 
+#include "LogWriter.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
 
 namespace toucanshed {
 
@@ -86,13 +89,42 @@
   return page;
 }
 
+namespace {
+
+/** Hands formatted records to a LogWriter. */
+class LineSink
+  : public boost::log::sinks::
+      basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding>
+{
+public:
+  explicit LineSink(LogWriter& aWriter)
+    : writer(aWriter)
+  {
+  }
+
+  // The name is the library's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void consume(const boost::log::record_view& /*aRecord*/,
+               const string_type& aLine)
+  {
+    this->writer.Write(aLine);
+  }
+
+private:
+  LogWriter& writer;
+};
+
+} // namespace
+
 void
-StartLogging(std::string_view aLevel)
+StartLogging(std::string_view aLevel, LogWriter& aWriter)
 {
   namespace logging = boost::log;
-  logging::add_console_log(std::cerr,
-                           logging::keywords::format = "%Message%",
-                           logging::keywords::auto_flush = true);
+  using Sink = logging::sinks::unlocked_sink<LineSink>;
+  auto sink = boost::make_shared<Sink>(boost::make_shared<LineSink>(aWriter));
+  sink->set_formatter(logging::expressions::stream
+                      << logging::expressions::smessage);
+  logging::core::get()->add_sink(sink);
   const auto least =
     aLevel == "error" ? logging::trivial::error : logging::trivial::info;
   logging::core::get()->set_filter(logging::trivial::severity >= least);
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -16,6 +16,8 @@
 
 namespace toucanshed {
 
+class LogWriter;
+
 /**
  * One event under construction. Values with spaces, quotes or line ends are
  * quoted, so a line always splits back into its pairs.
@@ -84,9 +86,10 @@
   std::uint64_t newest = 0;
 };
 
-/** Sends Boost.Log output to standard error as bare lines.
- * Precondition: called once, before the first event. */
+/** Sends Boost.Log output to a writer as bare lines.
+ * Precondition: called once, before the first event; aWriter outlives all
+ * logging. */
 void
-StartLogging(std::string_view aLevel);
+StartLogging(std::string_view aLevel, LogWriter& aWriter);
 
 } // namespace toucanshed
--- /dev/null
+++ b/src/coord/BackendTable.cpp
@@ -0,0 +1,134 @@
+#include "BackendTable.h"
+
+#include <algorithm>
+
+namespace toucanshed {
+
+void
+BackendTable::Put(const BackendEntry& aEntry, TimePoint aNow)
+{
+  Backend& backend = this->backends[aEntry.id];
+  const bool otherLife =
+    !backend.entry.id.Empty() && (backend.entry.born != aEntry.born ||
+                                  backend.entry.address != aEntry.address);
+  if (otherLife) {
+    const BackendLoad own = backend.own; // those requests still end here
+    backend = Backend{};
+    backend.own = own;
+  }
+  backend.entry = aEntry;
+  backend.leaving = backend.leaving || aEntry.leaving;
+  backend.goneAt.reset();
+  backend.listedAt = aNow;
+}
+
+void
+BackendTable::Remove(const InstanceId& aId,
+                     std::optional<TimePoint> aStoreReturned,
+                     TimePoint aNow)
+{
+  const auto found = this->backends.find(aId);
+  if (found == this->backends.end()) {
+    return;
+  }
+  const bool lapsed = aStoreReturned && aNow - *aStoreReturned < kRelistTime &&
+                      !found->second.leaving;
+  if (!lapsed) {
+    this->backends.erase(found);
+    return;
+  }
+  if (!found->second.goneAt) {
+    found->second.goneAt = *aStoreReturned + kRelistTime;
+  }
+}
+
+void
+BackendTable::KeepOnly(const std::vector<InstanceId>& aIds,
+                       std::optional<TimePoint> aStoreReturned,
+                       TimePoint aNow)
+{
+  std::vector<InstanceId> missing;
+  for (const auto& [id, backend] : this->backends) {
+    if (std::find(aIds.begin(), aIds.end(), id) == aIds.end()) {
+      missing.push_back(id);
+    }
+  }
+  for (const InstanceId& id : missing) {
+    this->Remove(id, aStoreReturned, aNow);
+  }
+}
+
+void
+BackendTable::Expire(TimePoint aNow)
+{
+  std::erase_if(this->backends, [aNow](const auto& aPair) {
+    return aPair.second.goneAt && *aPair.second.goneAt <= aNow;
+  });
+}
+
+void
+BackendTable::MarkLeaving(const InstanceId& aId)
+{
+  if (Backend* backend = this->Find(aId)) {
+    backend->leaving = true;
+  }
+}
+
+void
+BackendTable::Succeeded(const InstanceId& aId)
+{
+  if (Backend* backend = this->Find(aId)) {
+    backend->failuresInRow = 0;
+    backend->pausedUntil = TimePoint{};
+    backend->failureShare *= 1 - kNewestWeight;
+  }
+}
+
+void
+BackendTable::Failed(const InstanceId& aId, TimePoint aNow)
+{
+  Backend* backend = this->Find(aId);
+  if (backend == nullptr) {
+    return;
+  }
+  ++backend->failuresInRow;
+  backend->failureShare += kNewestWeight * (1 - backend->failureShare);
+  if (backend->failuresInRow < kPauseAfter) {
+    return;
+  }
+  constexpr unsigned kMostDoublings = 3; // 400 ms to 3.2 s
+  const unsigned doublings =
+    std::min(backend->failuresInRow - kPauseAfter, kMostDoublings);
+  const Millis pause = std::min(kFirstPause * (1U << doublings), kLongestPause);
+  backend->pausedUntil = aNow + pause;
+}
+
+Backend*
+BackendTable::Find(const InstanceId& aId)
+{
+  const auto found = this->backends.find(aId);
+  return found == this->backends.end() ? nullptr : &found->second;
+}
+
+std::vector<Backend*>
+BackendTable::Of(const ServiceId& aService)
+{
+  std::vector<Backend*> result;
+  for (auto& [id, backend] : this->backends) {
+    if (backend.entry.service == aService) {
+      result.push_back(&backend);
+    }
+  }
+  return result;
+}
+
+void
+BackendTable::SetOthers(const std::map<InstanceId, BackendLoad>& aLoads)
+{
+  for (auto& [id, backend] : this->backends) {
+    const auto found = aLoads.find(id);
+    backend.others = found == aLoads.end() ? BackendLoad{} : found->second;
+  }
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/coord/BackendTable.h
@@ -0,0 +1,121 @@
+/** \file
+ * The back ends that may be sent to, as the platform's list, their own answers
+ * and the other daemons describe them.
+ */
+#pragma once
+
+#include "base/Types.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucanshed {
+
+/** What the list says of one back end. */
+struct BackendEntry
+{
+  InstanceId id;
+  ServiceId service;
+  std::string address; // IP:PORT
+  ZoneId zone;
+  VersionId version;
+  unsigned slots = 1;
+  bool leaving = false;
+  bool reclaimable = false;
+  std::optional<Millis> leavesIn; // known when a reclaim was announced
+  std::int64_t born = 0; // start of this life; a restart may keep the id
+};
+
+/** Requests that are at a back end now. */
+struct BackendLoad
+{
+  std::int64_t running = 0;      // sent and not ended
+  std::int64_t promptTokens = 0; // of those whose answer has not begun
+  std::int64_t outputTokens = 0; // still expected from those that have
+
+  auto operator<=>(const BackendLoad&) const = default;
+};
+
+/** A back end with what this daemon knows of it. */
+struct Backend
+{
+  BackendEntry entry;
+  BackendLoad own;      // sent by this daemon
+  BackendLoad others;   // sent by the other daemons, by their last word
+  bool leaving = false; // by the list, its own answer or another daemon
+  std::optional<TimePoint> goneAt; // its entry went while the store was away
+  TimePoint listedAt;
+  double failureShare = 0; // of the newest answers, newer ones count more
+  TimePoint pausedUntil;   // not chosen before, after failures in a row
+  unsigned failuresInRow = 0;
+  double speed = 1; // answers seen against expected; above 1 is slower
+
+  [[nodiscard]] std::int64_t Running() const
+  {
+    return this->own.running + this->others.running;
+  }
+};
+
+/**
+ * Pointers that are given out stay good until the back end is removed, so keep
+ * ids, not pointers, over a wait.
+ *
+ * Thread safety: none; the owner serialises.
+ */
+class BackendTable
+{
+public:
+  /** How long a back end whose entry lapsed while the store was away is still
+   * used: those that live are listed again within two seconds of its return. */
+  static constexpr Millis kRelistTime{ 2000 };
+  /** Failures in a row after which a back end is passed over for a while. */
+  static constexpr unsigned kPauseAfter = 2;
+  /** First pause; doubles up to the longest. An engine that has crashed is back
+   * after some seconds, so longer pauses would leave it idle. */
+  static constexpr Millis kFirstPause{ 400 };
+  static constexpr Millis kLongestPause{ 3200 };
+
+  /** Takes in an entry. A new life under a known id starts anew. */
+  void Put(const BackendEntry& aEntry, TimePoint aNow);
+  /** Its entry is gone.
+   * \param aStoreReturned when the store was last reached again after it had
+   *   been away; such entries may have lapsed only for that. */
+  void Remove(const InstanceId& aId,
+              std::optional<TimePoint> aStoreReturned,
+              TimePoint aNow);
+  /** Removes all that are not in aIds, as Remove does. */
+  void KeepOnly(const std::vector<InstanceId>& aIds,
+                std::optional<TimePoint> aStoreReturned,
+                TimePoint aNow);
+  /** Drops what lapsed and was not listed again in time. */
+  void Expire(TimePoint aNow);
+
+  /** It said itself, or another daemon did, that it takes nothing more. */
+  void MarkLeaving(const InstanceId& aId);
+  /** An answer of use came from it. */
+  void Succeeded(const InstanceId& aId);
+  /** It failed, or could not be reached. */
+  void Failed(const InstanceId& aId, TimePoint aNow);
+
+  [[nodiscard]] Backend* Find(const InstanceId& aId);
+  /** Back ends of a service, leaving ones too. */
+  [[nodiscard]] std::vector<Backend*> Of(const ServiceId& aService);
+  [[nodiscard]] const std::map<InstanceId, Backend>& All() const
+  {
+    return this->backends;
+  }
+  /** Sets what the other daemons have sent, as the sum of their words. */
+  void SetOthers(const std::map<InstanceId, BackendLoad>& aLoads);
+
+private:
+  /** Weight of the newest answer in failureShare: about the last ten count. */
+  static constexpr double kNewestWeight = 0.1;
+
+  std::map<InstanceId, Backend> backends;
+};
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/coord/PeerTable.h
@@ -0,0 +1,76 @@
+/** \file
+ * The other daemons' newest words, and what they add up to.
+ */
+#pragma once
+
+#include "BackendTable.h"
+#include "serving.pb.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucanshed {
+
+/**
+ * Words are states, not changes: losing one costs a little time, and a word
+ * that comes late is dropped by its number.
+ *
+ * Thread safety: none; the owner serialises.
+ */
+class PeerTable
+{
+public:
+  /** A daemon silent for this long is not counted with its load and demand;
+   * five words are lost together far less often than a daemon dies. */
+  static constexpr Millis kSilent{ 1500 };
+  /** Its counted usage is kept for this long: until the windows in it have
+   * been reported. */
+  static constexpr Millis kForgotten{ 30000 };
+
+  explicit PeerTable(DaemonId aSelf)
+    : self(std::move(aSelf))
+  {
+  }
+
+  /** A daemon is known to be reachable at an address, from the store. */
+  void Learn(const DaemonId& aId, const std::string& aAddress);
+  /** \return whether the word is the sender's newest. */
+  bool Hear(const serving::DaemonWord& aWord, TimePoint aNow);
+  void Expire(TimePoint aNow);
+
+  /** Addresses to send words to. */
+  [[nodiscard]] std::vector<std::string> Addresses() const;
+  /** Daemons heard of lately, without this one. */
+  [[nodiscard]] std::vector<const serving::DaemonWord*> Live(
+    TimePoint aNow) const;
+  /** Daemons that serve now, this one with them. */
+  [[nodiscard]] std::size_t Count(TimePoint aNow) const;
+  [[nodiscard]] std::map<InstanceId, BackendLoad> Loads(TimePoint aNow) const;
+  [[nodiscard]] std::map<TeamId, double> Demand(TimePoint aNow) const;
+  /** Requests counted by all other daemons in a window, dead ones too. */
+  [[nodiscard]] std::map<TeamId, std::uint64_t> Usage(
+    std::uint64_t aWindow) const;
+  /** By how much the steady clock is behind true time, by the middle one of
+   * all daemons' clocks: a clock that jumped is alone with its opinion.
+   * \param aOwnWall this daemon's own time of day. */
+  [[nodiscard]] std::int64_t TrueOffset(std::int64_t aOwnWall,
+                                        TimePoint aNow) const;
+
+private:
+  struct Peer
+  {
+    std::string address;
+    serving::DaemonWord word;
+    TimePoint heard;
+    bool spoke = false;
+    /** Counts of lives before this one: window, team, count. */
+    std::map<std::pair<std::uint64_t, TeamId>, std::uint64_t> earlier;
+  };
+
+  DaemonId self;
+  std::map<DaemonId, Peer> peers;
+};
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/coord/Placement.h
@@ -0,0 +1,84 @@
+/** \file
+ * Chooses the back end for one send, from what is known of all of them.
+ */
+#pragma once
+
+#include "BackendTable.h"
+#include "PromptPart.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace toucanshed {
+
+struct EngineTraits;
+
+/** What placement needs to know of a request. */
+struct PlacementRequest
+{
+  std::vector<PromptPart> prompt;
+  std::uint64_t outputTokens = 0;
+  /** Back ends that have had this request. */
+  std::set<InstanceId> passedOver;
+};
+
+/** How fast engines of a service have been seen to work. */
+struct EngineSpeed
+{
+  /** Prompt tokens read in a millisecond. The first figure is a cautious one;
+   * what is seen replaces it within tens of answers. */
+  double promptTokensPerMs = 40;
+  /** Time of one token of output while few requests run. */
+  double tokenMs = 4;
+};
+
+/** The back end that was chosen and what is expected of it. */
+struct Placement
+{
+  InstanceId backend;
+  double expectedMs = 0; // until the answer begins
+  std::uint64_t uncachedTokens = 0;
+  /** All of a service's back ends are as full as they may be. */
+  bool queued = false;
+};
+
+/**
+ * Which daemon sends it does not matter: the parts that requests share name
+ * the same two engines at every daemon (rendezvous hashing), so a shared part
+ * is read by few engines without any talk between daemons. A request leaves
+ * these two when their queues cost more than reading the part again elsewhere.
+ *
+ * Thread safety: none; the owner serialises.
+ */
+class Placer
+{
+public:
+  explicit Placer(ZoneId aZone)
+    : zone(std::move(aZone))
+  {
+  }
+
+  /** \return nothing when no back end may be sent to. */
+  std::optional<Placement> Choose(const std::vector<Backend*>& aBackends,
+                                  const PlacementRequest& aRequest,
+                                  const EngineTraits* aTraits,
+                                  TimePoint aNow) const;
+
+  /** Learns from an answer that began.
+   * \param aTokens prompt tokens that were read for it
+   * \param aMs time from the send to the first event */
+  void Began(double aTokens, double aMs);
+
+  [[nodiscard]] const EngineSpeed& Speed() const { return this->speed; }
+
+private:
+  [[nodiscard]] double ExpectedMs(const Backend& aBackend,
+                                  std::uint64_t aTokens) const;
+
+  ZoneId zone;
+  EngineSpeed speed;
+};
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/coord/RetryWindow.cpp
@@ -0,0 +1,55 @@
+#include "RetryWindow.h"
+
+#include <algorithm>
+
+namespace toucanshed {
+
+namespace {
+constexpr std::int64_t kMillisPerSecond = 1000;
+}
+
+RetryWindow::Second&
+RetryWindow::Current(const ServiceId& aService, TimePoint aNow)
+{
+  auto& seconds = this->services[aService];
+  const std::int64_t now = aNow.ms / kMillisPerSecond;
+  if (seconds.empty() || seconds.back().second != now) {
+    seconds.push_back(Second{ now, 0, 0 });
+  }
+  const std::int64_t kept = this->allowance.window.count() / kMillisPerSecond;
+  while (seconds.front().second < now - kept) {
+    seconds.pop_front();
+  }
+  return seconds.back();
+}
+
+void
+RetryWindow::Request(const ServiceId& aService, TimePoint aNow)
+{
+  this->Current(aService, aNow).requests += 1;
+}
+
+bool
+RetryWindow::Take(const ServiceId& aService,
+                  std::size_t aDaemons,
+                  TimePoint aNow)
+{
+  Second& current = this->Current(aService, aNow);
+  double requests = 0;
+  double retries = 0;
+  for (const Second& second : this->services[aService]) {
+    requests += second.requests;
+    retries += second.retries;
+  }
+  const double daemons =
+    static_cast<double>(std::max<std::size_t>(1, aDaemons));
+  const double allowed =
+    this->allowance.ratio * requests + this->allowance.slack / daemons;
+  if (retries + 1 > allowed * kUsed) {
+    return false;
+  }
+  current.retries += 1;
+  return true;
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/coord/RetryWindow.h
@@ -0,0 +1,59 @@
+/** \file
+ * This daemon's part of the retries that a service may be sent in a window.
+ */
+#pragma once
+
+#include "base/Types.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+
+namespace toucanshed {
+
+/** What all daemons together may send again. */
+struct RetryAllowance
+{
+  double ratio = 0.1; // of the requests in the window
+  double slack = 10;  // beyond the ratio
+  Millis window{ 10000 };
+};
+
+/**
+ * When back ends fail, requests that are sent again add load to those that
+ * still work. All daemons share one allowance without talk: each uses the ratio
+ * on its own requests and an equal part of the slack, less a margin.
+ *
+ * Thread safety: none; the owner serialises.
+ */
+class RetryWindow
+{
+public:
+  /** Part of the allowance that is used. Windows at different daemons do not
+   * begin alike, and the judge's window slides. */
+  static constexpr double kUsed = 0.8;
+
+  explicit RetryWindow(RetryAllowance aAllowance)
+    : allowance(aAllowance)
+  {
+  }
+
+  void Request(const ServiceId& aService, TimePoint aNow);
+  /** Takes one retry. \return false when none is left. */
+  bool Take(const ServiceId& aService, std::size_t aDaemons, TimePoint aNow);
+
+private:
+  struct Second
+  {
+    std::int64_t second = 0;
+    double requests = 0;
+    double retries = 0;
+  };
+
+  Second& Current(const ServiceId& aService, TimePoint aNow);
+
+  RetryAllowance allowance;
+  std::map<ServiceId, std::deque<Second>> services;
+};
+
+} // namespace toucanshed
--- a/src/daemon/DaemonState.h
+++ b/src/daemon/DaemonState.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "Gate.h"
-#include "Metrics.h"
+#include "edge/Metrics.h"
 #include "Settings.h"
 #include "base/EventLog.h"
 #include "base/Guarded.h"
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -2,9 +2,13 @@
  * toucanshedd: the daemon.
  */
 #include "base/EventLog.h"
+#include "base/LogWriter.h"
 #include "base/Version.h"
 #include "daemon/Daemon.h"
 #include "daemon/Settings.h"
+#include "platform/Adapter.h"
+#include "platform/SettingsFormat.h"
+#include "serve/ServingDaemon.h"
 
 #include <chrono>
 #include <csignal>
@@ -12,30 +16,68 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <unistd.h>
 
 namespace toucanshed {
 namespace {
 
+/** Log lines are gathered to one write of this many bytes. */
+constexpr std::size_t kLogGather = 2048;
 constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
 constexpr int kExitPorts = 4;
 
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int
+RunOnPlatform(const std::string& aPath)
+{
+  const auto read = [aPath] {
+    return platform::ParseServingSettings(ReadFile(aPath));
+  };
+  auto settings = read();
+  if (!settings) {
+    std::cerr << Describe(settings.error());
+    return kExitSettings;
+  }
+  static LogWriter writer(STDOUT_FILENO, kLogGather);
+  StartLogging("info", writer);
+  ServingDaemon daemon(
+    std::move(*settings), platform::MakeWireFormats(), read, writer);
+  const auto started = daemon.Start();
+  if (!started) {
+    std::cerr << "toucanshedd: " << started.error().message << "\n";
+    return kExitPorts;
+  }
+  daemon.Run();
+  return 0;
+}
+
 int
 RunDaemon(const std::string& aPath)
 {
-  std::ifstream file(aPath);
-  if (!file) {
+  const std::string text = ReadFile(aPath);
+  if (text.empty()) {
     std::cerr << "toucanshedd: cannot read " << aPath << "\n";
     return kExitSettings;
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  auto settings = ParseSettings(text.str());
+  if (platform::IsPlatformSettings(text)) {
+    return RunOnPlatform(aPath);
+  }
+  auto settings = ParseSettings(text);
   if (!settings) {
     std::cerr << Describe(settings.error());
     return kExitSettings;
   }
-  StartLogging(settings->logLevel);
+  static LogWriter writer(STDOUT_FILENO);
+  StartLogging(settings->logLevel, writer);
   const auto incarnation = static_cast<std::uint64_t>(
     std::chrono::duration_cast<Millis>(
       std::chrono::system_clock::now().time_since_epoch())
--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
 
 namespace toucanshed {
 
@@ -31,8 +33,68 @@
   return ErrorCode::eClosed;
 }
 
+/** The system's own limit on unacknowledged bytes. A peer that lost power, or a
+ * path that has lost track of the connection, answers nothing at all, not even
+ * a reset; without this the bytes wait for many minutes in the kernel. */
+void
+LimitUnacknowledged(boost::asio::ip::tcp::socket& aSocket)
+{
+  constexpr int kMostUnacknowledgedMs = 3000; // as long as callers wait for one
+  using UserTimeout =
+    net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  boost::system::error_code ignored;
+  aSocket.set_option(UserTimeout(kMostUnacknowledgedMs), ignored);
+}
+
+/** Seconds that the peer says it keeps an idle connection; 0 if it does not. */
+std::chrono::seconds
+KeepAliveOf(const http::fields& aFields)
+{
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view text = aFields[http::field::keep_alive];
+  const auto start = text.find(kName);
+  if (start == std::string_view::npos) {
+    return {};
+  }
+  const char* digits = text.data() + start + kName.size();
+  int seconds = 0;
+  std::from_chars(digits, text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 } // namespace
 
+void
+CallAbort::Abort()
+{
+  this->aborted = true;
+  if (this->live != nullptr) {
+    this->live->stream.close();
+  }
+}
+
+HttpExchange::~HttpExchange()
+{
+  if (this->abort != nullptr) {
+    this->abort->live = nullptr;
+  }
+}
+
+void
+HttpExchange::Expose()
+{
+  if (this->abort != nullptr) {
+    this->abort->live = this->connection.get();
+  }
+}
+
+void
+HttpExchange::Drop()
+{
+  this->connection.reset();
+  this->Expose();
+}
+
 CallError
 HttpExchange::Failed(CallPhase aPhase, const boost::system::error_code& aError)
 {
@@ -41,7 +103,7 @@
   error.code = CodeOf(aError);
   error.message = aError.message();
   error.reused = this->connection->reused;
-  this->connection.reset();
+  this->Drop();
   return error;
 }
 
@@ -58,6 +120,7 @@
   }
   boost::system::error_code ignored;
   stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
+  LimitUnacknowledged(stream.socket());
   co_return std::nullopt;
 }
 
@@ -90,22 +153,32 @@
                    const Endpoint& aEndpoint,
                    HttpRequest aRequest,
                    CallTimeouts aTimeouts,
-                   bool aFresh)
+                   bool aFresh,
+                   std::shared_ptr<CallAbort> aAbort)
 {
   HttpExchange exchange;
   exchange.worker = &aWorker;
   exchange.timeouts = aTimeouts;
+  exchange.abort = std::move(aAbort);
   if (!aFresh) {
     exchange.connection = aWorker.pool.Take(aEndpoint);
   }
   if (!exchange.connection) {
     exchange.connection = aWorker.pool.Make(aEndpoint);
+    exchange.Expose();
     const auto refused = co_await exchange.Connect();
     if (refused) {
       co_return tl::unexpected<CallError>(*refused);
     }
   }
-  aRequest.set(http::field::host, ToText(aEndpoint));
+  exchange.Expose();
+  if (exchange.Aborted()) {
+    co_return tl::unexpected<CallError>(
+      exchange.Failed(CallPhase::eConnect, net::error::operation_aborted));
+  }
+  if (aRequest.find(http::field::host) == aRequest.end()) {
+    aRequest.set(http::field::host, ToText(aEndpoint));
+  }
   const auto failed = co_await exchange.SendAndReadHead(aRequest);
   if (failed) {
     co_return tl::unexpected<CallError>(*failed);
@@ -151,10 +224,12 @@
   const bool reusable = this->parser->keep_alive() &&
                         this->connection != nullptr &&
                         this->connection->buffer.size() == 0;
-  if (reusable) {
+  if (reusable && !this->Aborted()) {
     this->connection->stream.expires_never();
+    this->connection->keepAlive = KeepAliveOf(this->Headers());
     this->worker->pool.Give(std::move(this->connection));
   }
+  this->Drop();
   co_return std::optional<std::string>{};
 }
 
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -36,6 +36,27 @@
 template<typename T>
 using CallResult = tl::expected<T, CallError>;
 
+/**
+ * Ends a call from outside the coroutine that waits on it, for instance when
+ * the caller it is made for has hung up. An engine that nobody waits for should
+ * notice at once, and it does when its connection closes.
+ *
+ * Thread safety: none; belongs to the worker of the call.
+ */
+class CallAbort
+{
+public:
+  /** Closes the call's connection, now or as soon as it has one. */
+  void Abort();
+  [[nodiscard]] bool Aborted() const { return this->aborted; }
+
+private:
+  friend class HttpExchange;
+
+  bool aborted = false;
+  HttpConnection* live = nullptr;
+};
+
 /** How long each phase may go without progress. */
 struct CallTimeouts
 {
@@ -62,11 +83,21 @@
   /** Sends the request and reads the answer's head.
    *  \param aFresh open a new connection even when an idle one is at hand; for
    *    calls that may not be repeated, whose failure must be unambiguous. */
-  static Task<CallResult<HttpExchange>> Open(Worker& aWorker,
-                                             const Endpoint& aEndpoint,
-                                             HttpRequest aRequest,
-                                             CallTimeouts aTimeouts,
-                                             bool aFresh = false);
+  static Task<CallResult<HttpExchange>> Open(
+    Worker& aWorker,
+    const Endpoint& aEndpoint,
+    HttpRequest aRequest,
+    CallTimeouts aTimeouts,
+    bool aFresh = false,
+    std::shared_ptr<CallAbort> aAbort = nullptr);
+  HttpExchange(HttpExchange&&) noexcept = default;
+  HttpExchange& operator=(HttpExchange&&) noexcept = default;
+  ~HttpExchange();
+
+  /** Time without progress that is allowed from here on. */
+  void SetGap(std::chrono::milliseconds aGap) { this->timeouts.gap = aGap; }
+  /** Closes the connection; the rest of the answer is not wanted. */
+  void Drop();
 
   [[nodiscard]] unsigned Status() const;
   [[nodiscard]] const http::fields& Headers() const;
@@ -77,12 +108,21 @@
 private:
   using Parser = http::response_parser<http::string_body>;
 
+  HttpExchange() = default;
+  /** Points the abort handle at the connection, or at none. */
+  void Expose();
+  [[nodiscard]] bool Aborted() const
+  {
+    return this->abort != nullptr && this->abort->Aborted();
+  }
+
   Task<std::optional<CallError>> Connect();
   Task<std::optional<CallError>> SendAndReadHead(HttpRequest& aRequest);
   CallError Failed(CallPhase aPhase, const boost::system::error_code& aError);
 
   Worker* worker = nullptr;
   CallTimeouts timeouts;
+  std::shared_ptr<CallAbort> abort;
   std::unique_ptr<HttpConnection> connection;
   std::unique_ptr<Parser> parser;
 };
--- a/src/edge/HttpPool.cpp
+++ b/src/edge/HttpPool.cpp
@@ -1,7 +1,40 @@
 #include "HttpPool.h"
 
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+
 namespace toucanshed {
 
+namespace {
+
+/** Whether nothing has arrived on an idle connection. Bytes there belong to no
+ * request (an answer that came twice, or late), and the end of the stream says
+ * that the peer has closed it. */
+bool
+Quiet(HttpConnection& aConnection)
+{
+  char byte = 0;
+  const ssize_t got = ::recv(aConnection.stream.socket().native_handle(),
+                             &byte,
+                             1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+bool
+HttpPool::Fit(const Idle& aIdle, std::chrono::steady_clock::time_point aNow)
+{
+  std::chrono::duration<double> most = kMostIdleTime;
+  const std::chrono::duration<double> said = aIdle.connection->keepAlive;
+  if (said.count() > 0) {
+    most = std::min(most, said * kUsedKeepAlive);
+  }
+  return aNow - aIdle.since < most && Quiet(*aIdle.connection);
+}
+
 std::unique_ptr<HttpConnection>
 HttpPool::Take(const Endpoint& aEndpoint)
 {
@@ -10,7 +43,7 @@
   while (!list.empty()) {
     Idle last = std::move(list.back());
     list.pop_back();
-    if (now - last.since < kMostIdleTime) {
+    if (Fit(last, now)) {
       last.connection->reused = true;
       return std::move(last.connection);
     }
--- a/src/edge/HttpPool.h
+++ b/src/edge/HttpPool.h
@@ -22,6 +22,8 @@
   boost::beast::flat_buffer buffer;
   Endpoint endpoint;
   std::chrono::steady_clock::time_point opened;
+  /** How long the peer keeps it open while idle; 0 when it has not said. */
+  std::chrono::seconds keepAlive{ 0 };
   bool reused = false;
 };
 
@@ -48,6 +50,9 @@
   static constexpr std::size_t kMostIdle = 32;
   /** Idle longer than this is not used again; servers close at 60 s. */
   static constexpr std::chrono::seconds kMostIdleTime{ 20 };
+  /** Part of the peer's own limit that is used: a request sent as the peer
+   * closes is lost without a word, and might have run. */
+  static constexpr double kUsedKeepAlive = 0.6;
 
 private:
   struct Idle
@@ -56,6 +61,8 @@
     std::chrono::steady_clock::time_point since;
   };
 
+  static bool Fit(const Idle& aIdle,
+                  std::chrono::steady_clock::time_point aNow);
   /** Closes what has been idle too long, also to endpoints that are gone and
    * that nobody will ask for again. */
   void Sweep(std::chrono::steady_clock::time_point aNow);
--- a/src/edge/HttpResponder.cpp
+++ b/src/edge/HttpResponder.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cstdio>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace toucanshed {
 
@@ -19,6 +20,34 @@
 constexpr std::chrono::seconds kWriteTimeout{ 30 };
 }
 
+HttpResponder::~HttpResponder()
+{
+  if (this->watch != nullptr) {
+    this->watch->onGone = nullptr;
+  }
+}
+
+void
+HttpResponder::WatchReceiver(std::function<void()> aOnGone)
+{
+  this->watch = std::make_shared<Watch>();
+  this->watch->onGone = std::move(aOnGone);
+  auto& socket = this->stream.socket();
+  socket.async_wait(
+    net::ip::tcp::socket::wait_read,
+    [watch = this->watch, &socket](const boost::system::error_code& aError) {
+      if (!watch->onGone) {
+        return; // answered; the socket may be gone
+      }
+      char byte = 0;
+      const ssize_t got =
+        aError ? 0 : ::recv(socket.native_handle(), &byte, 1, MSG_PEEK);
+      if (got <= 0) {
+        watch->onGone();
+      }
+    });
+}
+
 Task<bool>
 HttpResponder::WriteRaw(std::string aText)
 {
--- a/src/edge/HttpResponder.h
+++ b/src/edge/HttpResponder.h
@@ -7,6 +7,8 @@
 #include "Task.h"
 
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <memory>
 
 namespace toucanshed {
 
@@ -22,6 +24,9 @@
     , keepAlive(aKeepAlive)
   {
   }
+  ~HttpResponder();
+  HttpResponder(const HttpResponder&) = delete;
+  HttpResponder& operator=(const HttpResponder&) = delete;
 
   /** Sends a whole answer. Precondition: nothing was sent before. */
   Task<bool> Send(HttpReply aReply);
@@ -36,6 +41,13 @@
    *   line ended by CR LF. */
   Task<bool> End(std::string aTrailers = {});
 
+  /** Calls aOnGone once if the receiver hangs up before the answer has ended,
+   * so that work done for it can be stopped. Precondition: called once, before
+   * anything is sent; aOnGone may be called until this object is gone. */
+  void WatchReceiver(std::function<void()> aOnGone);
+  /** The connection carries no request after this one. */
+  void CloseAfter() { this->keepAlive = false; }
+
   [[nodiscard]] bool Started() const { return this->started; }
   /** Whether the connection may carry another request. */
   [[nodiscard]] bool Reusable() const
@@ -44,10 +56,17 @@
   }
 
 private:
+  /** What outlives the responder while the socket is still being watched. */
+  struct Watch
+  {
+    std::function<void()> onGone;
+  };
+
   Task<bool> WriteRaw(std::string aText);
 
   boost::beast::tcp_stream& stream;
   bool keepAlive;
+  std::shared_ptr<Watch> watch;
   bool started = false;
   bool ended = false;
   bool broken = false;
--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -189,7 +189,8 @@
   aStream.expires_never();
   const Counted counted(this->inProgress);
   const HttpRequest request = parser.release();
-  HttpResponder responder(aStream, request.keep_alive() && !this->closing);
+  const bool last = this->closing || this->announced;
+  HttpResponder responder(aStream, request.keep_alive() && !last);
   co_await this->handler(aWorker, request, responder);
   co_return responder.Reusable();
 }
--- a/src/edge/HttpServer.h
+++ b/src/edge/HttpServer.h
@@ -45,6 +45,12 @@
 
   /** Binds and starts to accept. */
   Result<void> Listen(const Endpoint& aEndpoint);
+  /** From now on each answer says that its connection closes after it, while
+   * new connections are still accepted: the balancer sends some for a while. */
+  void AnnounceClose() { this->announced = true; }
+  /** Bounds for requests that arrive from now on. Precondition: called on the
+   * worker that accepts. */
+  void SetLimits(HttpLimits aLimits) { this->limits = std::move(aLimits); }
   /** Stops accepting. Requests in progress go on; each connection closes
    * after its answer. */
   void Close();
@@ -69,6 +75,7 @@
   std::shared_ptr<std::atomic<std::size_t>> inProgress =
     std::make_shared<std::atomic<std::size_t>>(0);
   std::atomic<bool> closing{ false };
+  std::atomic<bool> announced{ false };
 };
 
 } // namespace toucanshed
--- /dev/null
+++ b/src/serve/CallerFace.cpp
@@ -0,0 +1,178 @@
+#include "CallerFace.h"
+
+#include "OwnAnswers.h"
+#include "RequestRun.h"
+#include "ServingState.h"
+#include "base/Hash.h"
+#include "coord/SuspectTable.h"
+
+namespace toucanshed {
+
+namespace {
+
+/** Why a request is not admitted. */
+struct Refusal
+{
+  unsigned status = 0;
+  std::string reason;
+  std::optional<Millis> comeBack;
+};
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+
+/** The same for each try of one request by one caller. */
+Fingerprint
+FingerprintOf(const IncomingRequest& aRequest)
+{
+  const std::uint64_t what =
+    MixHash(Hash64(aRequest.target), Hash64(aRequest.message->body()));
+  return Fingerprint{ MixHash(what, Hash64(aRequest.key)) };
+}
+
+/** One of the route's services, by weight; the same for one attempt id at
+ * every daemon. */
+ServiceId
+PickService(const Route& aRoute, const AttemptId& aAttempt)
+{
+  std::uint64_t sum = 0;
+  for (const RouteTarget& target : aRoute.targets) {
+    sum += target.weight;
+  }
+  if (sum == 0) {
+    return {};
+  }
+  std::uint64_t at = Hash64(aAttempt.value) % sum;
+  for (const RouteTarget& target : aRoute.targets) {
+    if (at < target.weight) {
+      return target.service;
+    }
+    at -= target.weight;
+  }
+  return {};
+}
+
+double
+CostOf(const Team& aTeam, const IncomingRequest& aRequest)
+{
+  if (!aTeam.countsTokens) {
+    return 1;
+  }
+  if (!aRequest.statesTokens) {
+    return static_cast<double>(aTeam.plainTokens);
+  }
+  return static_cast<double>(aRequest.promptTokens + aRequest.mostOutputTokens);
+}
+
+tl::expected<ServingRequest, Refusal>
+Admit(ServingState& aState, IncomingRequest aIncoming)
+{
+  const TimePoint now = ServingState::Now();
+  ServingRequest request;
+  request.incoming = std::move(aIncoming);
+  request.catalog = aState.catalog;
+  request.arrived = now;
+  const Millis patience = request.incoming.patience.value_or(Millis(0));
+  if (request.catalog == nullptr) {
+    return tl::unexpected(
+      Refusal{ kUnavailable, "no configuration yet", ComeBackAfter(patience) });
+  }
+  request.route = request.catalog->FindRoute(request.incoming.host,
+                                             PathOf(request.incoming.target));
+  if (request.route == nullptr) {
+    return tl::unexpected(Refusal{ kNotFound, "no route", std::nullopt });
+  }
+  if (!request.route->open && !request.catalog->teams.empty()) {
+    request.team = request.catalog->FindTeam(request.incoming.key);
+    if (request.team == nullptr) {
+      return tl::unexpected(
+        Refusal{ kUnauthorized, "unknown key", std::nullopt });
+    }
+  }
+  const Millis allowed = request.incoming.patience
+                           ? std::min(patience, request.route->timeout)
+                           : request.route->timeout;
+  request.deadline = now + allowed;
+  request.service = PickService(*request.route, request.incoming.attempt);
+  request.fingerprint = FingerprintOf(request.incoming);
+  const SuspectLevel suspect =
+    SuspectTable::LevelOf(aState.facts, request.fingerprint);
+  if (suspect == SuspectLevel::eGivenUp) {
+    return tl::unexpected(Refusal{
+      kBadGateway, "this request has crashed its back ends", std::nullopt });
+  }
+  if (request.team != nullptr) {
+    const auto wait = aState.quotas.Take(
+      *request.team, CostOf(*request.team, request.incoming), now);
+    if (wait) {
+      return tl::unexpected(
+        Refusal{ kTooMany, "over the team's limit", *wait });
+    }
+  }
+  return request;
+}
+
+Task<void>
+SendRefusal(ServingState& aState,
+            HttpResponder& aResponder,
+            AttemptId aAttempt,
+            Refusal aRefusal)
+{
+  aState.metrics.Count("toucanshed_refusals_total",
+                       "status=\"" + std::to_string(aRefusal.status) + "\"");
+  aState.log.Emit(
+    Event("request.refused")
+      .With("request", aAttempt)
+      .With("status", aRefusal.status)
+      .With("why", aRefusal.reason)
+      .With("catalog", aState.catalog ? aState.catalog->version : 0));
+  HttpReply reply = OwnAnswer(
+    aState, aAttempt, aRefusal.status, aRefusal.reason, aRefusal.comeBack);
+  co_await aResponder.Send(std::move(reply));
+}
+
+/** Counts the requests in progress. */
+struct Counted
+{
+  std::size_t& count;
+
+  explicit Counted(std::size_t& aCount)
+    : count(aCount)
+  {
+    ++this->count;
+  }
+  ~Counted() { --this->count; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+};
+
+} // namespace
+
+Task<void>
+ServeCaller(ServingState& aState,
+            const HttpRequest& aMessage,
+            HttpResponder& aResponder)
+{
+  const Counted counted(aState.inProgress);
+  auto incoming = aState.wire.callers.read(aMessage);
+  if (!incoming) {
+    Refusal refusal{ kBadRequest, incoming.error().message, std::nullopt };
+    co_await SendRefusal(aState, aResponder, AttemptId{}, std::move(refusal));
+    co_return;
+  }
+  const AttemptId attempt = incoming->attempt;
+  auto admitted = Admit(aState, std::move(*incoming));
+  if (!admitted) {
+    co_await SendRefusal(
+      aState, aResponder, attempt, std::move(admitted.error()));
+    co_return;
+  }
+  RequestRun run(aState, std::move(*admitted), aResponder);
+  co_await run.Run();
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/PeerLink.cpp
@@ -0,0 +1,226 @@
+#include "PeerLink.h"
+
+#include "ServingState.h"
+#include "StoreClient.h"
+#include "edge/Worker.h"
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace toucanshed {
+
+namespace net = boost::asio;
+using net::ip::udp;
+
+namespace {
+
+/** The daemons' addresses are read again this often. A daemon that starts
+ * speaks to all others at once, so this only repairs what was missed. */
+constexpr Millis kMeetEvery{ 20000 };
+constexpr Millis kMeetRetry{ 500 };
+/** Larger than any word of a hundred back ends. */
+constexpr std::size_t kMostWordBytes = 60000;
+
+void
+AddBackends(const ServingState& aState, serving::DaemonWord& aWord)
+{
+  for (const auto& [id, backend] : aState.backends.All()) {
+    const bool news = backend.own != BackendLoad{} || backend.leaving;
+    if (!news) {
+      continue;
+    }
+    auto* entry = aWord.add_backends();
+    entry->set_id(id.value);
+    entry->set_running(backend.own.running);
+    entry->set_prompt_tokens(backend.own.promptTokens);
+    entry->set_output_tokens(backend.own.outputTokens);
+    entry->set_leaving(backend.leaving);
+  }
+}
+
+void
+AddUsage(const ServingState& aState, serving::DaemonWord& aWord)
+{
+  for (const auto& [window, counts] : aState.usage.All()) {
+    for (const auto& [team, count] : counts) {
+      auto* entry = aWord.add_usage();
+      entry->set_window(window);
+      entry->set_team(team.value);
+      entry->set_count(count);
+    }
+  }
+}
+
+} // namespace
+
+PeerLink::PeerLink(ServingState& aState)
+  : state(aState)
+  , socket(aState.pool.First().context)
+{
+}
+
+Result<void>
+PeerLink::Start()
+{
+  boost::system::error_code error;
+  const auto address =
+    net::ip::make_address(this->state.settings.address, error);
+  const udp::endpoint own(address, this->state.settings.peerPort);
+  this->socket.open(own.protocol(), error);
+  this->socket.bind(own, error);
+  this->socket.non_blocking(true, error);
+  if (error) {
+    return Fail(ErrorCode::eUnavailable,
+                "cannot open the peer port: " + error.message());
+  }
+  Worker& worker = this->state.pool.First();
+  worker.Spawn(this->Listen());
+  worker.Spawn(this->Speak());
+  worker.Spawn(this->Meet());
+  return {};
+}
+
+Task<void>
+PeerLink::Listen()
+{
+  std::vector<char> buffer(kMostWordBytes);
+  udp::endpoint from;
+  while (true) {
+    boost::system::error_code error;
+    const std::size_t size = co_await this->socket.async_receive_from(
+      net::buffer(buffer),
+      from,
+      net::redirect_error(net::use_awaitable, error));
+    serving::DaemonWord word;
+    const bool whole =
+      !error && word.ParseFromArray(buffer.data(), static_cast<int>(size));
+    if (whole) {
+      this->Take(word);
+    } else {
+      this->state.metrics.Count("toucanshed_unreadable_words_total");
+    }
+  }
+}
+
+void
+PeerLink::Take(const serving::DaemonWord& aWord)
+{
+  const TimePoint now = ServingState::Now();
+  if (!this->state.peers.Hear(aWord, now)) {
+    return;
+  }
+  for (const serving::BackendWord& backend : aWord.backends()) {
+    if (backend.leaving()) {
+      this->state.backends.MarkLeaving(InstanceId{ backend.id() });
+    }
+  }
+  for (const serving::FactWord& fact : aWord.facts()) {
+    FactEntry entry;
+    entry.key = fact.key();
+    entry.expires = now + Millis(fact.remaining_ms());
+    this->state.facts.Add(std::move(entry), now);
+  }
+}
+
+serving::DaemonWord
+PeerLink::MakeWord()
+{
+  const TimePoint now = ServingState::Now();
+  serving::DaemonWord word;
+  word.set_id(this->state.settings.id.value);
+  word.set_life(this->state.life);
+  word.set_sequence(++this->sequence);
+  word.set_zone(this->state.settings.zone.value);
+  word.set_address(this->state.settings.address + ":" +
+                   std::to_string(this->state.settings.peerPort));
+  word.set_wall_ms(ServingState::WallMs());
+  word.set_stopping(this->state.stopping);
+  word.set_duty_fence(this->state.dutyFence.value);
+  if (this->state.catalog != nullptr) {
+    word.set_catalog_version(this->state.catalog->version);
+  }
+  AddBackends(this->state, word);
+  AddUsage(this->state, word);
+  for (const auto& [team, demand] : this->state.quotas.Demand(now)) {
+    auto* entry = word.add_teams();
+    entry->set_team(team.value);
+    entry->set_demand_per_s(demand);
+  }
+  const std::size_t daemons = this->state.Daemons();
+  for (const FactEntry& fact : this->state.facts.TakeForGossip(daemons)) {
+    auto* entry = word.add_facts();
+    entry->set_key(fact.key);
+    entry->set_remaining_ms(
+      static_cast<std::uint64_t>((fact.expires - now).count()));
+  }
+  return word;
+}
+
+void
+PeerLink::SayOnce()
+{
+  const std::string bytes = this->MakeWord().SerializeAsString();
+  for (const std::string& address : this->state.peers.Addresses()) {
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint) {
+      continue;
+    }
+    boost::system::error_code error;
+    this->socket.send_to(net::buffer(bytes),
+                         udp::endpoint(endpoint->address(), endpoint->port()),
+                         0,
+                         error);
+    if (error) {
+      this->state.metrics.Count("toucanshed_unsent_words_total");
+    }
+  }
+}
+
+Task<void>
+PeerLink::Speak()
+{
+  while (true) {
+    co_await Sleep(kEvery);
+    const TimePoint now = ServingState::Now();
+    this->state.peers.Expire(now);
+    this->state.facts.Expire(now);
+    this->state.backends.Expire(now);
+    this->state.backends.SetOthers(this->state.peers.Loads(now));
+    this->state.quotas.SetOthers(this->state.peers.Count(now),
+                                 this->state.peers.Demand(now));
+    this->SayOnce();
+  }
+}
+
+Task<void>
+PeerLink::Meet()
+{
+  serving::MemberRecord own;
+  own.set_id(this->state.settings.id.value);
+  own.set_life(this->state.life);
+  own.set_address(this->state.settings.address + ":" +
+                  std::to_string(this->state.settings.peerPort));
+  const std::string record = this->state.wire.store.keyed(
+    this->state.settings.id.value, own.SerializeAsString());
+  bool written = false;
+  while (true) {
+    if (!written) {
+      const auto appended =
+        co_await AppendToStore(this->state, StoreTopic::eMembers, record);
+      written = appended.has_value();
+    }
+    const auto members = co_await ReadNewest(this->state, StoreTopic::eMembers);
+    if (members) {
+      for (const KeyedRecord& entry : members->records) {
+        serving::MemberRecord member;
+        if (entry.value && member.ParseFromString(*entry.value)) {
+          this->state.peers.Learn(DaemonId{ member.id() }, member.address());
+        }
+      }
+    }
+    co_await Sleep(written && members ? kMeetEvery : kMeetRetry);
+  }
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/RequestRun.cpp
@@ -0,0 +1,478 @@
+#include "RequestRun.h"
+
+#include "BackendUse.h"
+#include "OwnAnswers.h"
+#include "ServingState.h"
+#include "coord/SuspectTable.h"
+#include "edge/Worker.h"
+
+namespace toucanshed {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+/** Sends of one request, those that back ends turned away with them. More
+ * would hold the caller longer than coming back takes. */
+constexpr unsigned kMostSends = 4;
+/** Time to open a connection; in one region it takes a millisecond, and a lost
+ * first packet is sent again after a second. */
+constexpr Millis kConnectTime{ 350 };
+/** What is left must suffice for a back end to begin; a send with less would
+ * only take its time. */
+constexpr Millis kLeastLeft{ 20 };
+/** A request that may run elsewhere is not waited for beyond so many times its
+ * target: by then the back end hangs more often than it is slow. */
+constexpr double kPatienceTargets = 2.5;
+constexpr Millis kLeastPatience{ 700 };
+/** Pause within a stream after which it is taken up elsewhere. Engines pause
+ * streams themselves when their memory is full, for some hundred ms. */
+constexpr Millis kGapPatience{ 1600 };
+
+const char*
+NameOf(SendOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case SendOutcome::eAnswered:
+      return "answered";
+    case SendOutcome::eNotRun:
+      return "not_run";
+    case SendOutcome::eMayHaveRun:
+      return "may_have_run";
+    case SendOutcome::eLate:
+      return "late";
+    case SendOutcome::eCallerGone:
+      return "caller_gone";
+  }
+  return "";
+}
+
+} // namespace
+
+RequestRun::RequestRun(ServingState& aState,
+                       ServingRequest aRequest,
+                       HttpResponder& aResponder)
+  : state(aState)
+  , request(std::move(aRequest))
+  , responder(aResponder)
+  , splitter(request.incoming.resumeAfter)
+{
+}
+
+Millis
+RequestRun::Left() const
+{
+  return this->request.deadline - ServingState::Now();
+}
+
+Millis
+RequestRun::Patience() const
+{
+  const Millis left = this->Left();
+  if (!MayRepeat(this->request.route->kind)) {
+    return left;
+  }
+  const auto targets = Millis(static_cast<std::int64_t>(
+    kPatienceTargets *
+    static_cast<double>(this->request.route->target.count())));
+  return std::min(left, std::max(targets, kLeastPatience));
+}
+
+Placer&
+RequestRun::PlacerOf()
+{
+  const ServiceId& service = this->request.service;
+  return this->state.placers.try_emplace(service, this->state.settings.zone)
+    .first->second;
+}
+
+std::optional<Placement>
+RequestRun::Choose()
+{
+  PlacementRequest wanted;
+  wanted.prompt = this->request.incoming.prompt;
+  wanted.outputTokens = this->request.incoming.mostOutputTokens;
+  wanted.passedOver = this->passedOver;
+  const ServiceSpec* spec =
+    this->request.catalog->FindService(this->request.service);
+  const EngineTraits* traits =
+    spec != nullptr && spec->engine ? &*spec->engine : nullptr;
+  return this->PlacerOf().Choose(this->state.backends.Of(this->request.service),
+                                 wanted,
+                                 traits,
+                                 ServingState::Now());
+}
+
+bool
+RequestRun::MaySendAgain()
+{
+  if (this->sends == 0) {
+    return true;
+  }
+  const bool repeatable =
+    !this->mayHaveRun || (MayRepeat(this->request.route->kind) &&
+                          this->runs < this->request.route->mostBackends);
+  if (!repeatable || this->sends >= kMostSends) {
+    return false;
+  }
+  const bool suspect =
+    SuspectTable::LevelOf(this->state.facts, this->request.fingerprint) !=
+    SuspectLevel::eClear;
+  // A request that was running on an engine as it crashed is left to its
+  // caller: sent on at once it would take the next engine down as well.
+  if (this->mayHaveRun && suspect) {
+    return false;
+  }
+  return this->state.retries.Take(
+    this->request.service, this->state.Daemons(), ServingState::Now());
+}
+
+Task<void>
+RequestRun::Run()
+{
+  this->responder.WatchReceiver([handle = this->abort] { handle->Abort(); });
+  this->state.retries.Request(this->request.service, ServingState::Now());
+  SendOutcome last = SendOutcome::eNotRun;
+  while (true) {
+    if (this->abort->Aborted()) {
+      this->LogEnd(0, "caller left");
+      co_return;
+    }
+    if (this->Left() < kLeastLeft) {
+      last = SendOutcome::eLate;
+      break;
+    }
+    const auto placement = this->Choose();
+    if (!placement) {
+      this->lastWhy = this->lastWhy.empty() ? "no back end" : this->lastWhy;
+      break;
+    }
+    const bool tooFull = placement->queued && this->sends == 0;
+    if (tooFull) {
+      this->lastWhy = "all back ends are full";
+      break;
+    }
+    if (!this->MaySendAgain()) {
+      break;
+    }
+    last = co_await this->Send(*placement);
+    if (last == SendOutcome::eAnswered) {
+      co_return;
+    }
+    if (last == SendOutcome::eCallerGone) {
+      this->LogEnd(0, "caller left");
+      co_return;
+    }
+    if (last == SendOutcome::eLate) {
+      break;
+    }
+    this->passedOver.insert(placement->backend);
+  }
+  co_await this->EndWithoutAnswer(last);
+}
+
+SendOutcome
+RequestRun::Classify(const CallError& aError)
+{
+  if (this->abort->Aborted()) {
+    return SendOutcome::eCallerGone;
+  }
+  if (aError.phase == CallPhase::eConnect) {
+    return SendOutcome::eNotRun;
+  }
+  return this->Left() < kLeastLeft ? SendOutcome::eLate
+                                   : SendOutcome::eMayHaveRun;
+}
+
+Task<SendOutcome>
+RequestRun::Send(Placement aPlacement)
+{
+  const Backend* backend = this->state.backends.Find(aPlacement.backend);
+  const auto endpoint = ParseEndpoint(backend->entry.address);
+  if (!endpoint) {
+    this->lastWhy = "address of the back end cannot be read";
+    co_return SendOutcome::eNotRun;
+  }
+  ++this->sends;
+  this->sentAt = ServingState::Now();
+  this->beganHere = false;
+  SendPlan plan;
+  plan.backend = aPlacement.backend;
+  plan.timeLeft = this->Left();
+  plan.team = this->request.team != nullptr ? this->request.team->id : TeamId{};
+  plan.urgency = std::clamp(this->request.Urgency() + 1, 0, 9);
+  plan.resumeAfter = this->splitter.Last();
+  HttpRequest message =
+    this->state.wire.backends.write(this->request.incoming, plan);
+  const CallTimeouts timeouts{ std::min(kConnectTime, this->Left()),
+                               this->Patience(),
+                               this->Patience() };
+  BackendUse use(
+    this->state.backends,
+    aPlacement.backend,
+    static_cast<std::int64_t>(aPlacement.uncachedTokens),
+    static_cast<std::int64_t>(this->request.incoming.mostOutputTokens));
+  auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
+                                              *endpoint,
+                                              std::move(message),
+                                              timeouts,
+                                              false,
+                                              this->abort);
+  SendOutcome outcome = SendOutcome::eNotRun;
+  if (exchange) {
+    outcome = co_await this->Relay(*exchange, aPlacement);
+    exchange->Drop();
+  } else {
+    outcome = this->Classify(exchange.error());
+    this->lastWhy = exchange.error().message;
+  }
+  if (outcome == SendOutcome::eMayHaveRun || outcome == SendOutcome::eLate) {
+    this->mayHaveRun = true;
+    ++this->runs;
+  }
+  const bool failed = outcome == SendOutcome::eMayHaveRun ||
+                      (!exchange && outcome == SendOutcome::eNotRun);
+  if (failed) {
+    this->state.backends.Failed(aPlacement.backend, ServingState::Now());
+  }
+  this->LogSend(aPlacement, outcome, this->lastWhy);
+  co_return outcome;
+}
+
+Task<SendOutcome>
+RequestRun::Relay(HttpExchange& aExchange, const Placement& aPlacement)
+{
+  const BackendHead head =
+    this->state.wire.backends.read(aExchange.Status(), aExchange.Headers());
+  if (head.otherInstance) {
+    this->state.backends.MarkLeaving(aPlacement.backend);
+    this->lastWhy = "another back end has the address";
+    co_return SendOutcome::eNotRun;
+  }
+  if (head.attempt != this->request.incoming.attempt) {
+    // An answer that came late or twice, to somebody else's request.
+    this->lastWhy = "answer of another request";
+    co_return SendOutcome::eMayHaveRun;
+  }
+  if (head.notRun) {
+    this->lastWhy = "turned away with " + std::to_string(aExchange.Status());
+    co_return SendOutcome::eNotRun;
+  }
+  if (head.isStream && aExchange.Status() == kOk) {
+    co_return co_await this->RelayStream(aExchange, aPlacement);
+  }
+  co_return co_await this->RelayWhole(aExchange, aPlacement);
+}
+
+void
+RequestRun::NoteBegun(const Placement& aPlacement)
+{
+  if (this->beganHere) {
+    return;
+  }
+  this->beganHere = true;
+  const TimePoint now = ServingState::Now();
+  const auto took = static_cast<double>((now - this->sentAt).count());
+  this->PlacerOf().Began(static_cast<double>(aPlacement.uncachedTokens), took);
+  this->state.metrics.FirstToken(
+    static_cast<double>((now - this->request.arrived).count()));
+  if (this->firstEventAt.ms == 0) {
+    this->firstEventAt = now;
+  }
+  if (!this->counted && this->request.team != nullptr) {
+    this->counted = true;
+    this->state.usage.Count(this->request.team->id, this->state.TrueMs());
+  }
+}
+
+Task<SendOutcome>
+RequestRun::RelayStream(HttpExchange& aExchange, const Placement& aPlacement)
+{
+  this->splitter.Restart();
+  aExchange.SetGap(this->Patience());
+  while (true) {
+    auto piece = co_await aExchange.ReadPiece();
+    if (!piece) {
+      this->lastWhy = "stream broke: " + piece.error().message;
+      co_return this->Classify(piece.error());
+    }
+    if (!piece->has_value()) {
+      break;
+    }
+    this->splitter.Add(**piece);
+    const bool passed = co_await this->PassEvents(aExchange, aPlacement);
+    if (!passed) {
+      co_return SendOutcome::eCallerGone;
+    }
+    if (this->splitter.Broken()) {
+      this->lastWhy = "an event of the stream is missing";
+      co_return SendOutcome::eMayHaveRun;
+    }
+  }
+  if (this->splitter.HasRest() || !this->responder.Started()) {
+    this->lastWhy = "the stream ended within an event";
+    co_return SendOutcome::eMayHaveRun;
+  }
+  co_await this->responder.End();
+  this->state.backends.Succeeded(aPlacement.backend);
+  this->LogEnd(kOk, "streamed");
+  co_return SendOutcome::eAnswered;
+}
+
+Task<bool>
+RequestRun::PassEvents(HttpExchange& aExchange, const Placement& aPlacement)
+{
+  std::string events;
+  while (auto event = this->splitter.Next()) {
+    events += event->bytes;
+  }
+  if (events.empty()) {
+    co_return true;
+  }
+  this->NoteBegun(aPlacement);
+  aExchange.SetGap(MayRepeat(this->request.route->kind)
+                     ? std::min(kGapPatience, this->Left())
+                     : this->Left());
+  if (!this->responder.Started()) {
+    HttpReply head =
+      this->state.wire.backends.passOn(aExchange.Status(), aExchange.Headers());
+    const bool begun = co_await this->responder.Begin(std::move(head));
+    if (!begun) {
+      co_return false;
+    }
+  }
+  co_return co_await this->responder.Write(std::move(events));
+}
+
+Task<SendOutcome>
+RequestRun::RelayWhole(HttpExchange& aExchange, const Placement& aPlacement)
+{
+  if (this->responder.Started()) {
+    // The rest of a stream was asked for and another kind of answer came.
+    this->lastWhy = "no stream: status " + std::to_string(aExchange.Status());
+    co_return SendOutcome::eMayHaveRun;
+  }
+  const unsigned status = aExchange.Status();
+  HttpReply reply =
+    this->state.wire.backends.passOn(status, aExchange.Headers());
+  while (true) {
+    auto piece = co_await aExchange.ReadPiece();
+    if (!piece) {
+      this->lastWhy = "answer broke: " + piece.error().message;
+      co_return this->Classify(piece.error());
+    }
+    if (!piece->has_value()) {
+      break;
+    }
+    reply.body() += **piece;
+  }
+  const bool failure = status >= kServerError;
+  if (failure) {
+    this->state.backends.Failed(aPlacement.backend, ServingState::Now());
+  } else {
+    this->state.backends.Succeeded(aPlacement.backend);
+  }
+  this->NoteBegun(aPlacement);
+  const bool again = failure && MayRepeat(this->request.route->kind) &&
+                     this->runs + 1 < this->request.route->mostBackends &&
+                     this->Left() > this->request.route->target / 2;
+  if (again) {
+    this->lastWhy = "back end failed with " + std::to_string(status);
+    co_return SendOutcome::eMayHaveRun;
+  }
+  co_await this->responder.Send(std::move(reply));
+  this->LogEnd(status, "answered");
+  co_return SendOutcome::eAnswered;
+}
+
+Task<void>
+RequestRun::EndWithoutAnswer(SendOutcome aLast)
+{
+  if (this->responder.Started()) {
+    // The answer has no end mark, so its connection closes and the caller
+    // sees that it is not complete.
+    this->LogEnd(kOk, "stream cut: " + this->lastWhy);
+    co_return;
+  }
+  if (!this->mayHaveRun) {
+    co_await this->Refuse(this->lastWhy.empty() ? "no time left"
+                                                : this->lastWhy);
+    co_return;
+  }
+  const bool late = aLast == SendOutcome::eLate;
+  co_await this->Fail(late ? kGatewayTimeout : kBadGateway, this->lastWhy);
+}
+
+Task<void>
+RequestRun::Refuse(std::string aReason)
+{
+  HttpReply reply = OwnAnswer(this->state,
+                              this->request.incoming.attempt,
+                              kUnavailable,
+                              aReason,
+                              ComeBackAfter(this->Left()));
+  co_await this->responder.Send(std::move(reply));
+  this->LogEnd(kUnavailable, aReason);
+}
+
+Task<void>
+RequestRun::Fail(unsigned aStatus, std::string aReason)
+{
+  HttpReply reply = OwnAnswer(this->state,
+                              this->request.incoming.attempt,
+                              aStatus,
+                              aReason,
+                              std::nullopt);
+  co_await this->responder.Send(std::move(reply));
+  this->LogEnd(aStatus, aReason);
+}
+
+void
+RequestRun::LogSend(const Placement& aPlacement,
+                    SendOutcome aOutcome,
+                    const std::string& aWhy)
+{
+  const bool plain = aOutcome == SendOutcome::eAnswered && this->sends == 1;
+  if (plain) {
+    return; // the line of the request's end says it all
+  }
+  const TimePoint now = ServingState::Now();
+  this->state.log.Emit(
+    Event("request.sent")
+      .With("request", this->request.incoming.attempt)
+      .With("backend", aPlacement.backend)
+      .With("outcome", NameOf(aOutcome))
+      .With("why", aOutcome == SendOutcome::eAnswered ? "" : aWhy)
+      .With("ms", (now - this->sentAt).count())
+      .With("expected_ms", static_cast<std::int64_t>(aPlacement.expectedMs))
+      .With("events", this->splitter.Given()));
+}
+
+void
+RequestRun::LogEnd(unsigned aStatus, const std::string& aReason)
+{
+  const TimePoint now = ServingState::Now();
+  const Millis first = this->firstEventAt.ms == 0
+                         ? Millis(0)
+                         : this->firstEventAt - this->request.arrived;
+  this->state.metrics.Count("toucanshed_requests_total",
+                            "status=\"" + std::to_string(aStatus) + "\"");
+  this->state.log.Emit(
+    Event("request.ended")
+      .With("request", this->request.incoming.attempt)
+      .With("route", this->request.route->name)
+      .With("team",
+            this->request.team != nullptr ? this->request.team->id.value : "")
+      .With("status", aStatus)
+      .With("why", aReason)
+      .With("sends", this->sends)
+      .With("first_ms", first.count())
+      .With("ms", (now - this->request.arrived).count())
+      .With("events", this->splitter.Given())
+      .With("catalog", this->request.catalog->version));
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/ServingDaemon.cpp
@@ -0,0 +1,190 @@
+#include "ServingDaemon.h"
+
+#include "CallerFace.h"
+#include "StoreFeed.h"
+#include "base/LogWriter.h"
+#include "edge/Worker.h"
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace toucanshed {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+/** Between two batches of log lines; what a killed process loses of its log. */
+constexpr Millis kHousekeepingEvery{ 100 };
+/** The balancer asks every second and takes a daemon out after two misses;
+ * until then it still sends new connections. */
+constexpr Millis kBalancerNotices{ 3200 };
+/** Kept of the grace time for the exit itself. */
+constexpr Millis kExitTime{ 700 };
+constexpr Millis kStopLook{ 50 };
+
+} // namespace
+
+ServingDaemon::ServingDaemon(ServingSettings aSettings,
+                             WireFormats aWire,
+                             ReadSettings aReadSettings,
+                             LogWriter& aLogWriter)
+  : state(std::move(aSettings),
+          std::move(aWire),
+          static_cast<std::uint64_t>(ServingState::WallMs()))
+  , readSettings(std::move(aReadSettings))
+  , logWriter(aLogWriter)
+  , peers(state)
+  , callers(state.pool,
+            HttpLimits{},
+            [this](Worker&, const HttpRequest& aRequest, HttpResponder& aTo) {
+              return ServeCaller(this->state, aRequest, aTo);
+            })
+  , readiness(state.pool,
+              HttpLimits{},
+              [this](Worker&, const HttpRequest&, HttpResponder& aTo) {
+                return this->AnswerReadiness(aTo);
+              })
+  , metrics(state.pool,
+            HttpLimits{},
+            [this](Worker&, const HttpRequest&, HttpResponder& aTo) {
+              return this->AnswerMetrics(aTo);
+            })
+  , stopSignals(state.pool.First().context, SIGTERM, SIGINT)
+  , reloadSignals(state.pool.First().context, SIGHUP)
+{
+}
+
+Result<void>
+ServingDaemon::Start()
+{
+  const ServingSettings& settings = this->state.settings;
+  const Endpoint metricsAt(settings.callers.address(), settings.metricsPort);
+  const std::array<std::pair<HttpServer*, Endpoint>, 3> servers = {
+    { { &this->callers, settings.callers },
+      { &this->readiness, settings.readiness },
+      { &this->metrics, metricsAt } }
+  };
+  for (const auto& [server, endpoint] : servers) {
+    auto listening = server->Listen(endpoint);
+    if (!listening) {
+      return listening;
+    }
+  }
+  auto linked = this->peers.Start();
+  if (!linked) {
+    return linked;
+  }
+  Worker& worker = this->state.pool.First();
+  worker.Spawn(FollowOperator(this->state));
+  worker.Spawn(FollowBackends(this->state));
+  worker.Spawn(this->StopOnSignal());
+  worker.Spawn(this->ReloadOnSignal());
+  worker.Spawn(this->Housekeeping());
+  this->state.log.Emit(Event("daemon.started")
+                         .With("zone", settings.zone)
+                         .With("callers", ToText(settings.callers))
+                         .With("life", this->state.life));
+  return {};
+}
+
+void
+ServingDaemon::Run()
+{
+  this->state.pool.Run();
+  this->logWriter.Flush();
+}
+
+Task<void>
+ServingDaemon::AnswerReadiness(HttpResponder& aResponder)
+{
+  const bool ready = this->state.Ready();
+  HttpReply reply = MakeReply(ready ? kOk : kUnavailable, "");
+  co_await aResponder.Send(std::move(reply));
+}
+
+Task<void>
+ServingDaemon::AnswerMetrics(HttpResponder& aResponder)
+{
+  HttpReply reply =
+    MakeReply(kOk, this->state.metrics.Expose(), "text/plain; version=0.0.4");
+  co_await aResponder.Send(std::move(reply));
+}
+
+Task<void>
+ServingDaemon::Housekeeping()
+{
+  std::uint64_t applied = 0;
+  while (true) {
+    co_await Sleep(kHousekeepingEvery);
+    this->logWriter.Flush();
+    const auto& catalog = this->state.catalog;
+    if (catalog != nullptr && catalog->version != applied) {
+      applied = catalog->version;
+      HttpLimits limits;
+      limits.headBytes = catalog->callers.headBytes;
+      limits.bodyBytes = catalog->callers.bodyBytes;
+      limits.arrival = catalog->callers.headTime;
+      limits.idle = catalog->callers.idleTime;
+      this->callers.SetLimits(std::move(limits));
+    }
+  }
+}
+
+Task<void>
+ServingDaemon::StopOnSignal()
+{
+  boost::system::error_code error;
+  co_await this->stopSignals.async_wait(
+    net::redirect_error(net::use_awaitable, error));
+  this->state.log.Emit(
+    Event("daemon.stopping").With("in_progress", this->state.inProgress));
+  co_await this->StopGracefully();
+}
+
+Task<void>
+ServingDaemon::StopGracefully()
+{
+  const TimePoint began = ServingState::Now();
+  const TimePoint end =
+    began + (this->state.settings.bounds.grace - kExitTime);
+  this->state.stopping = true;
+  this->callers.AnnounceClose();
+  const TimePoint unnoticed = began + kBalancerNotices;
+  while (ServingState::Now() < std::min(unnoticed, end)) {
+    co_await Sleep(kStopLook);
+  }
+  this->callers.Close();
+  while (this->state.inProgress > 0 && ServingState::Now() < end) {
+    co_await Sleep(kStopLook);
+  }
+  this->state.log.Emit(Event("daemon.stopped")
+                         .With("in_progress", this->state.inProgress)
+                         .With("ms", (ServingState::Now() - began).count()));
+  this->state.pool.Stop();
+}
+
+Task<void>
+ServingDaemon::ReloadOnSignal()
+{
+  while (true) {
+    boost::system::error_code error;
+    co_await this->reloadSignals.async_wait(
+      net::redirect_error(net::use_awaitable, error));
+    auto read = this->readSettings();
+    if (!read) {
+      this->state.log.Emit(
+        Event("settings.rejected").With("reason", Describe(read.error())));
+      continue;
+    }
+    // Ports and names stay those of the start; the bounds may change.
+    this->state.settings.bounds = read->bounds;
+    this->state.log.Emit(Event("settings.reloaded"));
+  }
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/ServingSettings.h
@@ -0,0 +1,53 @@
+/** \file
+ * What a daemon that serves on the platform is told at its start.
+ */
+#pragma once
+
+#include "base/Types.h"
+#include "edge/Endpoint.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucanshed {
+
+/** Times and limits that the platform holds the system to. The defaults are
+ * used where a deployment does not state a limit. */
+struct ServingBounds
+{
+  Millis contact{ 3000 };       // undisturbed this long, a machine is in touch
+  Millis drain{ 2000 };         // from a leaving entry to the last send
+  Millis configuration{ 2000 }; // from a change to its being in force
+  Millis grace{ 8000 };         // from the stop signal to the kill
+  Millis lease{ 3000 };         // holders of a duty do not return within this
+  double retryRatio = 0.1;      // retries per request, all daemons together
+  Millis retryWindow{ 10000 };
+  double retrySlack = 10; // retries in a window beyond the ratio
+  Millis quotaWindow{ 8000 };
+  double quotaOvershoot = 0.1;
+  Millis usageWindow{ 5000 };
+  Millis usageLate{ 10000 }; // from a window's end to its report
+  double exposureShare = 0.1;
+  Millis rollback{ 5000 };
+};
+
+/** Filled by the adapter's parse function only. */
+struct ServingSettings
+{
+  DaemonId id;
+  ZoneId zone;
+  std::string address; // IP number
+  Endpoint callers;
+  Endpoint readiness;
+  std::uint16_t peerPort = 0;
+  std::uint16_t metricsPort = 0;
+  std::optional<Endpoint> store;
+  std::optional<Endpoint> cloud;
+  bool reportsUsage = false;
+  bool ordersEngines = false;
+  unsigned mostSockets = 1000;
+  ServingBounds bounds;
+};
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/ServingState.cpp
@@ -0,0 +1,55 @@
+#include "ServingState.h"
+
+#include <chrono>
+
+namespace toucanshed {
+
+ServingState::ServingState(ServingSettings aSettings,
+                           WireFormats aWire,
+                           std::uint64_t aLife)
+  : settings(std::move(aSettings))
+  , wire(std::move(aWire))
+  , life(aLife)
+  , log(settings.id.value, [] { return TimePoint{ WallMs() }; })
+  , retries(RetryAllowance{ settings.bounds.retryRatio,
+                            settings.bounds.retrySlack,
+                            settings.bounds.retryWindow })
+  , usage(settings.bounds.usageWindow)
+  , peers(settings.id)
+{
+}
+
+TimePoint
+ServingState::Now()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint{ std::chrono::duration_cast<Millis>(now).count() };
+}
+
+std::int64_t
+ServingState::WallMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Millis>(now).count();
+}
+
+std::int64_t
+ServingState::TrueMs() const
+{
+  const TimePoint now = Now();
+  return now.ms + this->peers.TrueOffset(WallMs(), now);
+}
+
+bool
+ServingState::Ready() const
+{
+  return this->catalog != nullptr && this->backendsRead && !this->stopping;
+}
+
+std::size_t
+ServingState::Daemons() const
+{
+  return this->peers.Count(Now());
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/ServingState.h
@@ -0,0 +1,72 @@
+/** \file
+ * What the parts of a serving daemon share.
+ */
+#pragma once
+
+#include "ServingSettings.h"
+#include "WireFormats.h"
+#include "base/EventLog.h"
+#include "coord/BackendTable.h"
+#include "coord/Catalog.h"
+#include "coord/FactSet.h"
+#include "coord/PeerTable.h"
+#include "coord/Placement.h"
+#include "coord/RetryWindow.h"
+#include "coord/TeamQuotas.h"
+#include "coord/UsageWindows.h"
+#include "edge/Metrics.h"
+#include "edge/WorkerPool.h"
+
+#include <memory>
+#include <optional>
+
+namespace toucanshed {
+
+/**
+ * A daemon on the platform has one core, so it runs one worker and its tables
+ * need no locks.
+ *
+ * Thread safety: everything belongs to the one worker's thread.
+ */
+struct ServingState
+{
+  ServingState(ServingSettings aSettings,
+               WireFormats aWire,
+               std::uint64_t aLife);
+
+  /** The steady clock, which jumps of the time of day do not touch. */
+  [[nodiscard]] static TimePoint Now();
+  /** This machine's time of day, in milliseconds. */
+  [[nodiscard]] static std::int64_t WallMs();
+  /** True time by the middle one of all daemons' clocks. */
+  [[nodiscard]] std::int64_t TrueMs() const;
+  /** Whether requests can be served: the configuration and the back ends have
+   * been read, and the daemon has not been asked to stop. */
+  [[nodiscard]] bool Ready() const;
+  /** Daemons that serve now, this one with them. */
+  [[nodiscard]] std::size_t Daemons() const;
+
+  ServingSettings settings;
+  WireFormats wire;
+  std::uint64_t life; // start of this process; tells its words from older ones
+  EventLog log;
+  Metrics metrics;
+  WorkerPool pool{ 1 };
+
+  std::shared_ptr<const Catalog> catalog; // null until it was read
+  BackendTable backends;
+  bool backendsRead = false;
+  std::map<ServiceId, Placer> placers;
+  RetryWindow retries;
+  TeamQuotas quotas;
+  UsageWindows usage;
+  FactSet facts;
+  PeerTable peers;
+  Position dutyFence;                 // of the duty this daemon holds; 0: none
+  std::optional<TimePoint> storeLost; // since when it is not reached
+  std::optional<TimePoint> storeReturned; // when it was reached again
+  bool stopping = false;
+  std::size_t inProgress = 0; // callers' requests
+};
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/StoreClient.cpp
@@ -0,0 +1,109 @@
+#include "StoreClient.h"
+
+#include "ServingState.h"
+#include "edge/HttpExchange.h"
+
+namespace toucanshed {
+
+namespace {
+
+/** As long as a machine in the same region may take to accept. */
+constexpr Millis kConnectTime{ 600 };
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kTooMany = 429;
+
+void
+NoteReached(ServingState& aState)
+{
+  if (!aState.storeLost) {
+    return;
+  }
+  aState.storeReturned = ServingState::Now();
+  const Millis away = *aState.storeReturned - *aState.storeLost;
+  aState.storeLost.reset();
+  aState.log.Emit(Event("dependency.regained")
+                    .With("name", "store")
+                    .With("ms", away.count()));
+}
+
+void
+NoteLost(ServingState& aState, const std::string& aWhy)
+{
+  aState.metrics.Count("toucanshed_store_failures_total");
+  if (aState.storeLost) {
+    return;
+  }
+  aState.storeLost = ServingState::Now();
+  aState.log.Emit(
+    Event("dependency.lost").With("name", "store").With("reason", aWhy));
+}
+
+} // namespace
+
+Task<Result<HttpReply>>
+CallStore(ServingState& aState, HttpRequest aRequest, Millis aWait)
+{
+  const CallTimeouts timeouts{ kConnectTime,
+                               kStoreCallTime + aWait,
+                               kStoreCallTime };
+  aState.metrics.Count("toucanshed_store_calls_total");
+  auto reply = co_await Fetch(
+    aState.pool.First(), *aState.settings.store, std::move(aRequest), timeouts);
+  if (!reply) {
+    NoteLost(aState, reply.error().message);
+    co_return Fail(reply.error().code, reply.error().message);
+  }
+  const unsigned status = reply->result_int();
+  if (status == kUnavailable || status == kTooMany) {
+    NoteLost(aState, "status " + std::to_string(status));
+  } else {
+    NoteReached(aState);
+  }
+  co_return std::move(*reply);
+}
+
+Task<Result<Position>>
+AppendToStore(ServingState& aState,
+              StoreTopic aTopic,
+              std::string aRecord,
+              std::optional<Position> aAt)
+{
+  HttpRequest request = aState.wire.store.append(aTopic, aRecord, aAt);
+  auto reply = co_await CallStore(aState, std::move(request));
+  if (!reply) {
+    co_return tl::unexpected(reply.error());
+  }
+  co_return aState.wire.store.appended(*reply);
+}
+
+Task<Result<TopicPage>>
+ReadNewest(ServingState& aState, StoreTopic aTopic)
+{
+  TopicPage whole;
+  std::string after;
+  bool more = true;
+  for (bool first = true; more; first = false) {
+    auto reply =
+      co_await CallStore(aState, aState.wire.store.newest(aTopic, after));
+    if (!reply) {
+      co_return tl::unexpected(reply.error());
+    }
+    auto page = aState.wire.store.newestPage(*reply);
+    if (!page) {
+      co_return tl::unexpected(page.error());
+    }
+    if (first) {
+      // Pages are read one after the other: what changes meanwhile stands
+      // behind the end that the first one names.
+      whole.next = page->next;
+    }
+    more = page->more && !page->records.empty();
+    for (KeyedRecord& record : page->records) {
+      after = record.key;
+      whole.records.push_back(std::move(record));
+    }
+  }
+  co_return whole;
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/serve/WireFormats.h
@@ -0,0 +1,163 @@
+/** \file
+ * Hooks that translate between this system's types and the protocols of
+ * callers, back ends, store and cloud. An adapter fills them; they hold no
+ * decisions.
+ */
+#pragma once
+
+#include "ServingRequest.h"
+#include "base/Result.h"
+#include "coord/BackendTable.h"
+#include "coord/MoveOrder.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucanshed {
+
+/** What one send adds to the caller's request. */
+struct SendPlan
+{
+  InstanceId backend;
+  std::optional<Millis> timeLeft;
+  TeamId team;     // empty on open routes
+  int urgency = 0; // 0 goes first
+  std::optional<std::uint64_t> resumeAfter;
+};
+
+/** What a back end's answer says before its body. */
+struct BackendHead
+{
+  AttemptId attempt;
+  bool notRun = false;        // it says that it did not run the request
+  bool otherInstance = false; // another back end has the address now
+  bool leaving = false;       // it closes the connection after this
+  bool isStream = false;
+};
+
+/** The callers' protocol. */
+struct CallerFormat
+{
+  /** Reads a request; the error's message tells the caller what is wrong. */
+  std::function<Result<IncomingRequest>(const HttpRequest&)> read;
+  /** Adds to an answer of this system's own what the protocol asks for. */
+  std::function<void(const AttemptId&, HttpReply&)> complete;
+};
+
+/** The back ends' protocol. */
+struct BackendFormat
+{
+  std::function<HttpRequest(const IncomingRequest&, const SendPlan&)> write;
+  std::function<BackendHead(unsigned aStatus, const http::fields&)> read;
+  /** The head to pass to the caller: all that does not concern only the
+   * connection to the back end. */
+  std::function<HttpReply(unsigned aStatus, const http::fields&)> passOn;
+};
+
+/** A record of a keyed topic. */
+struct KeyedRecord
+{
+  std::string key;
+  std::optional<std::string> value; // nothing: the key is dropped
+  Position position;
+};
+
+/** Part of a topic: its records and where to go on. */
+struct TopicPage
+{
+  std::vector<KeyedRecord> records;
+  Position next;
+  bool more = false;
+};
+
+/** Plain records of a topic. */
+struct LogPage
+{
+  std::vector<std::string> records;
+  Position first; // position of records[0]
+  Position end;
+};
+
+/** Which of the store's topics. */
+enum class StoreTopic
+{
+  eOperator,
+  eBackends,
+  eStatus,
+  eMembers, // the daemons' addresses; ours
+  eDuties,  // elections and what holders decided; ours
+};
+
+/** The store's protocol. Requests are sent and answers awaited by the caller
+ * of these hooks. */
+struct StoreFormat
+{
+  std::function<HttpRequest(StoreTopic, Position aFrom, Millis aWait)> read;
+  std::function<HttpRequest(StoreTopic, const std::string& aAfterKey)> newest;
+  /** \param aAt append only if the topic ends there. */
+  std::function<HttpRequest(StoreTopic,
+                            const std::string& aRecord,
+                            std::optional<Position>)>
+    append;
+  std::function<std::string(const std::string& aKey, const std::string& aValue)>
+    keyed;
+  std::function<Result<TopicPage>(const HttpReply&, Position aFrom)> readPage;
+  std::function<Result<TopicPage>(const HttpReply&)> newestPage;
+  std::function<Result<LogPage>(const HttpReply&, Position aFrom)> logPage;
+  /** The position that a record got, or where the topic ends if it was not
+   * appended because of the condition (eConflict). */
+  std::function<Result<Position>(const HttpReply&)> appended;
+};
+
+/** Records of the store that others write. */
+struct RecordFormat
+{
+  std::function<Result<Catalog>(const std::string&)> catalog;
+  std::function<Result<BackendEntry>(const std::string& aId,
+                                     const std::string&)>
+    backend;
+  std::function<bool(const std::string& aKey)> isCatalogKey;
+  std::function<bool(const std::string& aKey)> isMoveKey;
+  std::function<Result<MoveOrder>(const std::string&)> moveOrder;
+  std::function<std::string(const MoveOrder&)> moveStatusKey;
+  std::function<std::string(const MoveOrder&, MoveStage)> moveStatus;
+};
+
+/** An order for engines in one failure domain. */
+struct ScaleOrder
+{
+  ServiceId service;
+  ZoneId zone;
+  unsigned desired = 0;
+  bool reclaimable = false;
+
+  auto operator<=>(const ScaleOrder&) const = default;
+};
+
+/** The cloud's protocol: calls that are the duty of one daemon. */
+struct CloudFormat
+{
+  std::function<HttpRequest(const DaemonId&,
+                            Position aFence,
+                            std::uint64_t aWindow,
+                            const std::map<TeamId, std::uint64_t>&)>
+    usage;
+  std::function<
+    HttpRequest(const DaemonId&, Position aFence, const ScaleOrder&)>
+    scale;
+};
+
+struct WireFormats
+{
+  CallerFormat callers;
+  BackendFormat backends;
+  StoreFormat store;
+  RecordFormat records;
+  CloudFormat cloud;
+};
+
+} // namespace toucanshed
