--- a/src/serve/CallerFace.cpp
+++ b/src/serve/CallerFace.cpp
@@ -161,14 +161,17 @@
   auto incoming = aState.wire.callers.read(aMessage);
   if (!incoming) {
     Refusal refusal{ kBadRequest, incoming.error().message, std::nullopt };
-    co_await SendRefusal(aState, aResponder, AttemptId{}, std::move(refusal));
+    AttemptId unknown;
+    co_await SendRefusal(
+      aState, aResponder, std::move(unknown), std::move(refusal));
     co_return;
   }
-  const AttemptId attempt = incoming->attempt;
+  AttemptId attempt = incoming->attempt;
   auto admitted = Admit(aState, std::move(*incoming));
   if (!admitted) {
+    Refusal refusal = std::move(admitted.error());
     co_await SendRefusal(
-      aState, aResponder, attempt, std::move(admitted.error()));
+      aState, aResponder, std::move(attempt), std::move(refusal));
     co_return;
   }
   RequestRun run(aState, std::move(*admitted), aResponder);
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -400,12 +400,17 @@
     co_return;
   }
   if (!this->mayHaveRun) {
-    co_await this->Refuse(this->lastWhy.empty() ? "no time left"
-                                                : this->lastWhy);
+    std::string reason = this->lastWhy;
+    if (reason.empty()) {
+      reason = "no time left";
+    }
+    co_await this->Refuse(std::move(reason));
     co_return;
   }
   const bool late = aLast == SendOutcome::eLate;
-  co_await this->Fail(late ? kGatewayTimeout : kBadGateway, this->lastWhy);
+  const unsigned status = late ? kGatewayTimeout : kBadGateway;
+  std::string reason = this->lastWhy;
+  co_await this->Fail(status, std::move(reason));
 }
 
 Task<void>
--- a/tools/lib/await_rule.py
+++ b/tools/lib/await_rule.py
@@ -1,4 +1,4 @@
-"""Finds braced temporaries in expressions with co_await.
+"""Finds braced and conditional temporaries in expressions with co_await.
 
 g++ 12 copies such a temporary bit by bit into the coroutine's frame and
 destroys both, so a string in it is freed twice: the process aborts, or worse
@@ -22,6 +22,10 @@
         with open(path, encoding="utf-8") as file:
             text = file.read()
         for match in re.finditer(r"co_await[^;]*?;", text, flags=re.S):
+            # A conditional that makes a string is such a temporary too.
+            if re.search(r'\?[^;]*"[^;]*:', match.group(0)):
+                line = text[:match.start()].count("\n") + 1
+                found.append(f"{path}:{line}: a text chosen by ?:")
             for name in re.findall(r"\b([A-Z]\w*)\{", match.group(0)):
                 if name not in TRIVIAL:
                     line = text[:match.start()].count("\n") + 1
