A stop closes connections that wait for a request

Change: HttpServer::Close ends idle waits; the window for new connections ends 2.8 s after the signal.

--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -109,10 +109,37 @@
   return {};
 }
 
+std::shared_ptr<HttpServer::IdleWait>
+HttpServer::BeginIdle(boost::beast::tcp_stream& aStream)
+{
+  auto wait = std::make_shared<IdleWait>();
+  wait->stream = &aStream;
+  wait->executor = aStream.get_executor();
+  const std::lock_guard<std::mutex> lock(this->idleMutex);
+  std::erase_if(this->idle, [](const auto& aWait) { return aWait.expired(); });
+  this->idle.push_back(wait);
+  return wait;
+}
+
 void
 HttpServer::Close()
 {
   this->closing = true;
+  {
+    const std::lock_guard<std::mutex> lock(this->idleMutex);
+    for (const auto& entry : this->idle) {
+      const auto wait = entry.lock();
+      if (wait == nullptr) {
+        continue;
+      }
+      // Whether it still waits is known on its own worker only.
+      net::post(wait->executor, [wait] {
+        if (wait->stream != nullptr) {
+          wait->stream->close();
+        }
+      });
+    }
+  }
   net::post(this->pool.First().context, [this] {
     boost::system::error_code ignored;
     this->acceptor->close(ignored);
@@ -164,8 +191,10 @@
   parser.body_limit(this->limits.bodyBytes);
   if (aBuffer.size() == 0) {
     aStream.expires_after(this->limits.idle);
+    const auto waiting = this->BeginIdle(aStream);
     const std::size_t first = co_await aStream.async_read_some(
       aBuffer.prepare(4096), net::redirect_error(net::use_awaitable, error));
+    waiting->stream = nullptr;
     if (error) {
       co_return false;
     }
--- a/src/edge/HttpServer.h
+++ b/src/edge/HttpServer.h
@@ -11,7 +11,9 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <list>
 #include <memory>
+#include <mutex>
 
 namespace toucanshed {
 
@@ -51,13 +53,22 @@
   /** Bounds for requests that arrive from now on. Precondition: called on the
    * worker that accepts. */
   void SetLimits(HttpLimits aLimits) { this->limits = std::move(aLimits); }
-  /** Stops accepting. Requests in progress go on; each connection closes
-   * after its answer. */
+  /** Stops accepting and closes connections that wait for a request: one read
+   * after this would be begun without the time to end it. Requests in progress
+   * go on; each connection closes after its answer. */
   void Close();
   /** Requests that have arrived whole and are not yet answered. */
   [[nodiscard]] std::size_t InProgress() const { return *this->inProgress; }
 
 private:
+  /** A connection that waits for the first byte of a request. */
+  struct IdleWait
+  {
+    boost::beast::tcp_stream* stream = nullptr; // null once the byte is there
+    boost::asio::any_io_executor executor;
+  };
+
+  std::shared_ptr<IdleWait> BeginIdle(boost::beast::tcp_stream& aStream);
   Task<void> Accept();
   Task<void> Serve(Worker& aWorker, boost::asio::ip::tcp::socket aSocket);
   Task<bool> ServeOne(Worker& aWorker,
@@ -74,6 +85,8 @@
    * is taken down. */
   std::shared_ptr<std::atomic<std::size_t>> inProgress =
     std::make_shared<std::atomic<std::size_t>>(0);
+  std::mutex idleMutex; // guards idle, not what it points to
+  std::list<std::weak_ptr<IdleWait>> idle;
   std::atomic<bool> closing{ false };
   std::atomic<bool> announced{ false };
 };
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -22,7 +22,7 @@
 constexpr Millis kHousekeepingEvery{ 100 };
 /** The balancer asks every second and takes a daemon out after two misses;
  * until then it still sends new connections. */
-constexpr Millis kBalancerNotices{ 3200 };
+constexpr Millis kBalancerNotices{ 2800 };
 /** Kept of the grace time for the exit itself. */
 constexpr Millis kExitTime{ 700 };
 constexpr Millis kStopLook{ 50 };
