Engines sized by what was there at first; reading speed by its median; limits logged

Cause: orders before the traffic cut 18 engines to 5, and reclaimable ones could not be had later; the mean of seen reading speeds was three times too low.

--- a/src/coord/Catalog.cpp
+++ b/src/coord/Catalog.cpp
@@ -26,6 +26,17 @@
   return found == this->teamByKey.end() ? nullptr : &this->teams[found->second];
 }
 
+const Team*
+Catalog::FindTeamById(const TeamId& aId) const
+{
+  for (const Team& team : this->teams) {
+    if (team.id == aId) {
+      return &team;
+    }
+  }
+  return nullptr;
+}
+
 const ServiceSpec*
 Catalog::FindService(const ServiceId& aId) const
 {
--- a/src/coord/Catalog.h
+++ b/src/coord/Catalog.h
@@ -127,6 +127,7 @@
                                        std::string_view aPath) const;
   /** The team that holds the key, or null. */
   [[nodiscard]] const Team* FindTeam(std::string_view aKey) const;
+  [[nodiscard]] const Team* FindTeamById(const TeamId& aId) const;
   [[nodiscard]] const ServiceSpec* FindService(const ServiceId& aId) const;
 };
 
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -128,10 +128,14 @@
     if (score < bestScore) {
       bestScore = score;
       const double room = backend->entry.slots * (1 + kQueueShare);
-      best = Placement{ backend->entry.id,
-                        expected,
-                        tokens,
-                        static_cast<double>(backend->Running()) >= room };
+      best = Placement{
+        backend->entry.id,
+        expected,
+        tokens,
+        static_cast<std::uint64_t>(std::max<std::int64_t>(
+          0, backend->own.promptTokens + backend->others.promptTokens)),
+        static_cast<double>(backend->Running()) >= room
+      };
     }
   }
   return best;
@@ -140,14 +144,16 @@
 void
 Placer::Began(double aTokens, double aMs)
 {
-  constexpr double kLeastTokens = 500; // shorter prompts show other delays
-  constexpr double kNewest = 0.05;     // about the last twenty answers count
+  constexpr double kLeastTokens = 2000; // shorter prompts show other delays
+  constexpr double kStep = 0.03;        // a change of speed shows in 30 answers
   if (aTokens < kLeastTokens || aMs <= 0) {
     return;
   }
-  const double seen = aTokens / aMs;
-  this->speed.promptTokensPerMs +=
-    kNewest * (seen - this->speed.promptTokensPerMs);
+  // A step up or down a fixed part leads to the middle one of what is seen.
+  // Some answers find their prompt read already and others wait for what is
+  // not known here; a mean would follow these.
+  const bool faster = aTokens / aMs > this->speed.promptTokensPerMs;
+  this->speed.promptTokensPerMs *= faster ? 1 + kStep : 1 / (1 + kStep);
 }
 
 } // namespace toucanshed
--- a/src/coord/Placement.h
+++ b/src/coord/Placement.h
@@ -40,6 +40,8 @@
   InstanceId backend;
   double expectedMs = 0; // until the answer begins
   std::uint64_t uncachedTokens = 0;
+  /** Prompt tokens of other requests that are to be read before. */
+  std::uint64_t aheadTokens = 0;
   /** All of a service's back ends are as full as they may be. */
   bool queued = false;
 };
@@ -67,7 +69,8 @@
                                   TimePoint aNow) const;
 
   /** Learns from an answer that began.
-   * \param aTokens prompt tokens that were read for it
+   * \param aTokens prompt tokens that the back end had to read before it, the
+   *   request's own with them
    * \param aMs time from the send to the first event */
   void Began(double aTokens, double aMs);
 
--- a/src/coord/ScalePlanner.cpp
+++ b/src/coord/ScalePlanner.cpp
@@ -86,7 +86,9 @@
                    std::vector<GroupOrder>& aOrders)
 {
   GroupState& state = this->groups[aGroup];
-  if (state.refusedUntil > aNow) {
+  const bool pausing = aGroup.reclaimable && aDesired > aPresent &&
+                       this->services[aGroup.service].refusedUntil > aNow;
+  if (pausing) {
     return;
   }
   const bool standing = state.ordered && *state.ordered == aDesired;
@@ -100,6 +102,23 @@
   aOrders.push_back(GroupOrder{ aGroup, aDesired });
 }
 
+double
+ScalePlanner::NeededNow(const ServiceSpec& aService,
+                        double aNeeded,
+                        unsigned aPresent,
+                        TimePoint aNow)
+{
+  constexpr double kLeast = 2;
+  ServiceState& state = this->services[aService.id];
+  if (state.firstSeen.ms == 0) {
+    state.firstSeen = aNow;
+    state.firstEngines = aPresent;
+  }
+  const bool fresh = aNow - state.firstSeen < kFirstTime;
+  const double first = fresh ? kFirstPart * state.firstEngines : 0;
+  return std::max({ aNeeded, first, kLeast });
+}
+
 std::vector<GroupOrder>
 ScalePlanner::Plan(const ServiceSpec& aService,
                    double aNeeded,
@@ -119,7 +138,7 @@
     presentReclaimable += counts.reclaimable;
     presentAll += counts.reclaimable + counts.onDemand;
   }
-  const double needed = std::max(aNeeded, 2.0);
+  const double needed = this->NeededNow(aService, aNeeded, presentAll, aNow);
   const auto reclaimable = static_cast<unsigned>(std::max(
     std::ceil(needed * kReclaimablePart), static_cast<double>(zones.size())));
   auto onDemand = static_cast<unsigned>(std::ceil(needed * kOnDemandPart));
@@ -161,7 +180,7 @@
 void
 ScalePlanner::Refused(const GroupOrder& aOrder, TimePoint aNow)
 {
-  this->groups[aOrder.group].refusedUntil = aNow + kRefusedPause;
+  this->services[aOrder.group.service].refusedUntil = aNow + kRefusedPause;
 }
 
 } // namespace toucanshed
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -61,8 +61,14 @@
   /** Time over which demand is remembered at its highest, so that a wave's
    * trough does not drain engines that its crest needs. */
   static constexpr Millis kRemembered{ 30000 };
-  /** A group that was refused is not asked for again before. */
-  static constexpr Millis kRefusedPause{ 2500 };
+  /** After a refusal none of its kind is asked for before: there are none to
+   * be had in any failure domain then, and each call costs. */
+  static constexpr Millis kRefusedPause{ 2000 };
+  /** Of the engines that a service had when it was first seen, so many are
+   * needed until its demand has been seen for a while: an operator has sized
+   * it for a peak. */
+  static constexpr double kFirstPart = 0.55;
+  static constexpr Millis kFirstTime{ 25000 };
 
   /** Engines that bear the demand in calm. */
   [[nodiscard]] static double NeededEngines(const ServiceDemand& aDemand,
@@ -84,7 +90,13 @@
   {
     std::optional<unsigned> ordered;
     TimePoint orderedAt;
-    TimePoint refusedUntil;
+  };
+  /** What is known of a service as a whole. */
+  struct ServiceState
+  {
+    unsigned firstEngines = 0;
+    TimePoint firstSeen;
+    TimePoint refusedUntil; // reclaimable ones
   };
   struct Counts
   {
@@ -101,7 +113,13 @@
             TimePoint aNow,
             std::vector<GroupOrder>& aOrders);
 
+  double NeededNow(const ServiceSpec& aService,
+                   double aNeeded,
+                   unsigned aPresent,
+                   TimePoint aNow);
+
   std::map<EngineGroup, GroupState> groups;
+  std::map<ServiceId, ServiceState> services;
 };
 
 } // namespace toucanshed
--- a/src/serve/CallerFace.cpp
+++ b/src/serve/CallerFace.cpp
@@ -16,6 +16,7 @@
   unsigned status = 0;
   std::string reason;
   std::optional<Millis> comeBack;
+  TeamId team;
 };
 
 constexpr unsigned kBadRequest = 400;
@@ -78,19 +79,19 @@
   request.arrived = now;
   const Millis patience = request.incoming.patience.value_or(Millis(0));
   if (request.catalog == nullptr) {
-    return tl::unexpected(
-      Refusal{ kUnavailable, "no configuration yet", ComeBackAfter(patience) });
+    return tl::unexpected(Refusal{
+      kUnavailable, "no configuration yet", ComeBackAfter(patience), {} });
   }
   request.route = request.catalog->FindRoute(request.incoming.host,
                                              PathOf(request.incoming.target));
   if (request.route == nullptr) {
-    return tl::unexpected(Refusal{ kNotFound, "no route", std::nullopt });
+    return tl::unexpected(Refusal{ kNotFound, "no route", std::nullopt, {} });
   }
   if (!request.route->open && !request.catalog->teams.empty()) {
     request.team = request.catalog->FindTeam(request.incoming.key);
     if (request.team == nullptr) {
       return tl::unexpected(
-        Refusal{ kUnauthorized, "unknown key", std::nullopt });
+        Refusal{ kUnauthorized, "unknown key", std::nullopt, {} });
     }
   }
   const Millis allowed = request.incoming.patience
@@ -102,15 +103,17 @@
   const SuspectLevel suspect =
     SuspectTable::LevelOf(aState.facts, request.fingerprint);
   if (suspect == SuspectLevel::eGivenUp) {
-    return tl::unexpected(Refusal{
-      kBadGateway, "this request has crashed its back ends", std::nullopt });
+    return tl::unexpected(Refusal{ kBadGateway,
+                                   "this request has crashed its back ends",
+                                   std::nullopt,
+                                   {} });
   }
   if (request.team != nullptr) {
     const auto wait = aState.quotas.Take(
       *request.team, CostOf(*request.team, request.incoming), now);
     if (wait) {
       return tl::unexpected(
-        Refusal{ kTooMany, "over the team's limit", *wait });
+        Refusal{ kTooMany, "over the team's limit", *wait, request.team->id });
     }
   }
   return request;
@@ -129,6 +132,8 @@
       .With("request", aAttempt)
       .With("status", aRefusal.status)
       .With("why", aRefusal.reason)
+      .With("team", aRefusal.team)
+      .With("come_back_ms", aRefusal.comeBack.value_or(Millis(0)).count())
       .With("catalog", aState.catalog ? aState.catalog->version : 0));
   HttpReply reply = OwnAnswer(
     aState, aAttempt, aRefusal.status, aRefusal.reason, aRefusal.comeBack);
@@ -160,7 +165,7 @@
   const Counted counted(aState.inProgress);
   auto incoming = aState.wire.callers.read(aMessage);
   if (!incoming) {
-    Refusal refusal{ kBadRequest, incoming.error().message, std::nullopt };
+    Refusal refusal{ kBadRequest, incoming.error().message, std::nullopt, {} };
     AttemptId unknown;
     co_await SendRefusal(
       aState, aResponder, std::move(unknown), std::move(refusal));
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -278,7 +278,9 @@
   this->beganHere = true;
   const TimePoint now = ServingState::Now();
   const auto took = static_cast<double>((now - this->sentAt).count());
-  this->PlacerOf().Began(static_cast<double>(aPlacement.uncachedTokens), took);
+  this->PlacerOf().Began(
+    static_cast<double>(aPlacement.uncachedTokens + aPlacement.aheadTokens),
+    took);
   this->state.metrics.FirstToken(
     static_cast<double>((now - this->request.arrived).count()));
   if (this->firstEventAt.ms == 0) {
@@ -455,6 +457,7 @@
       .With("why", aOutcome == SendOutcome::eAnswered ? "" : aWhy)
       .With("ms", (now - this->sentAt).count())
       .With("expected_ms", static_cast<std::int64_t>(aPlacement.expectedMs))
+      .With("ahead_tokens", aPlacement.aheadTokens)
       .With("events", this->splitter.Given()));
 }
 
--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -86,6 +86,27 @@
   }
 }
 
+void
+LogLimits(ServingState& aState, const Catalog& aCatalog)
+{
+  for (const Team& team : aCatalog.teams) {
+    const auto known = aState.catalog == nullptr
+                         ? nullptr
+                         : aState.catalog->FindTeamById(team.id);
+    const bool same = known != nullptr &&
+                      known->ratePerSecond == team.ratePerSecond &&
+                      known->burst == team.burst;
+    if (!same) {
+      aState.log.Emit(
+        Event("team.limit")
+          .With("team", team.id)
+          .With("per_s", static_cast<std::int64_t>(team.ratePerSecond))
+          .With("burst", static_cast<std::int64_t>(team.burst))
+          .With("catalog", aCatalog.version));
+    }
+  }
+}
+
 void
 TakeCatalog(ServingState& aState, const KeyedRecord& aRecord)
 {
@@ -103,6 +124,7 @@
   if (older) {
     return;
   }
+  LogLimits(aState, *parsed);
   aState.quotas.Configure(*parsed, ServingState::Now());
   aState.catalog = std::make_shared<const Catalog>(std::move(*parsed));
   aState.log.Emit(Event("catalog.in_force")
