--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -95,7 +95,7 @@
                      const serving::DaemonWord& aWord,
                      TimePoint aNow)
 {
-  constexpr double kNewest = 0.2; // about the last second of words counts
+  constexpr double kNewest = 0.08; // about the last two seconds count
   const bool newLife = aPeer.spoke && aWord.life() != aPeer.word.life();
   if (newLife) {
     aPeer.quota.clear(); // it counts from 0 again
@@ -104,17 +104,18 @@
     const TeamId id{ team.team() };
     const auto [entry, isNew] = aPeer.quota.try_emplace(id);
     QuotaUse& use = entry->second;
-    if (isNew && !newLife) {
+    if (!aPeer.spoke) {
       // First word: what it let through before is not this daemon's to count.
       use = QuotaUse{ team.taken(), team.taken(), 0, aNow };
       continue;
     }
+    if (isNew) {
+      use.wordAt = aPeer.heard;
+    }
     const auto passed =
       static_cast<double>(std::max<std::int64_t>(1, aNow.ms - use.wordAt.ms));
-    if (!isNew) {
-      const double rate = (team.taken() - use.known) / passed;
-      use.perMs += kNewest * (rate - use.perMs);
-    }
+    const double rate = (team.taken() - use.known) / passed;
+    use.perMs += kNewest * (rate - use.perMs);
     use.known = team.taken();
     use.wordAt = aNow;
   }
@@ -127,10 +128,8 @@
   for (auto& [id, peer] : this->peers) {
     const Millis silent = std::min(aNow - peer.heard, kGuessed);
     for (auto& [team, use] : peer.quota) {
-      double counted = use.known;
-      if (silent > kMissed) {
-        counted += use.perMs * static_cast<double>(silent.count());
-      }
+      const double counted =
+        use.known + use.perMs * static_cast<double>(silent.count());
       news[team] += counted - use.counted;
       use.counted = counted;
     }
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -31,8 +31,6 @@
   /** A daemon is taken to go on letting requests through for this long after
    * its last word; its callers have gone elsewhere by then. */
   static constexpr Millis kGuessed{ 6000 };
-  /** Words are guessed after this long, two words' time. */
-  static constexpr Millis kMissed{ 400 };
 
   explicit PeerTable(DaemonId aSelf)
     : self(std::move(aSelf))
@@ -48,9 +46,10 @@
   /** Addresses to send words to. */
   [[nodiscard]] std::vector<std::string> Addresses() const;
   /** What the other daemons let through for each team since this was last
-   * asked, by their words. For a daemon that has missed some words it is
-   * guessed that it goes on as before, and the guess is made good with its next
-   * word: one that is cut off from here may still serve. */
+   * asked: by their words, and beyond these guessed from how they went on until
+   * then. The next word makes a guess good. Without it every daemon would give
+   * out the whole refill between two words, and together many times the limit;
+   * and a daemon that is cut off from here may still serve. */
   std::map<TeamId, double> TakeQuotaUse(TimePoint aNow);
   /** Daemons heard of lately, without this one. */
   [[nodiscard]] std::vector<const serving::DaemonWord*> Live(
--- a/src/serve/CallerFace.cpp
+++ b/src/serve/CallerFace.cpp
@@ -109,6 +109,7 @@
                                    {} });
   }
   if (request.team != nullptr) {
+    aState.CountQuotaUse(now);
     const auto wait = aState.quotas.Take(
       *request.team, CostOf(*request.team, request.incoming), now);
     if (wait) {
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -192,9 +192,7 @@
     this->state.facts.Expire(now);
     this->state.backends.Expire(now);
     this->state.backends.SetOthers(this->state.peers.Loads(now));
-    for (const auto& [team, taken] : this->state.peers.TakeQuotaUse(now)) {
-      this->state.quotas.TakenElsewhere(team, taken, now);
-    }
+    this->state.CountQuotaUse(now);
     this->SayOnce();
   }
 }
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -49,6 +49,14 @@
   return this->catalog != nullptr && this->backendsRead && !this->stopping;
 }
 
+void
+ServingState::CountQuotaUse(TimePoint aNow)
+{
+  for (const auto& [team, taken] : this->peers.TakeQuotaUse(aNow)) {
+    this->quotas.TakenElsewhere(team, taken, aNow);
+  }
+}
+
 std::size_t
 ServingState::Daemons() const
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -46,6 +46,8 @@
   [[nodiscard]] bool Ready() const;
   /** Daemons that serve now, this one with them. */
   [[nodiscard]] std::size_t Daemons() const;
+  /** Takes from the teams' limits what the other daemons have let through. */
+  void CountQuotaUse(TimePoint aNow);
 
   ServingSettings settings;
   WireFormats wire;
--- /dev/null
+++ b/standin/platform/Cloud.cpp
@@ -0,0 +1,27 @@
+#include "Cloud.h"
+
+namespace toucanshed::standin {
+
+Task<void>
+PlatformCloud::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kConflict = 409;
+  CloudCall call;
+  call.path = std::string(PathOf(aRequest.target()));
+  call.body = aRequest.body();
+  call.holder = HeaderOf(aRequest, "Duty-Holder");
+  call.fence = std::stoull("0" + HeaderOf(aRequest, "Fencing-Token"));
+  unsigned status = kOk;
+  if (call.fence < this->highest) {
+    ++this->fenced;
+    status = kConflict;
+  } else {
+    this->highest = call.fence;
+    this->accepted.push_back(std::move(call));
+  }
+  HttpReply reply = MakeReply(status, "{}");
+  co_await aResponder.Send(std::move(reply));
+}
+
+} // namespace toucanshed::standin
--- /dev/null
+++ b/standin/platform/Cloud.h
@@ -0,0 +1,37 @@
+/** \file
+ * A small stand-in for the platform's calls that are one daemon's duty.
+ */
+#pragma once
+
+#include "edge/HttpResponder.h"
+#include "edge/HttpTypes.h"
+#include "edge/Task.h"
+
+#include <string>
+#include <vector>
+
+namespace toucanshed::standin {
+
+/** One call that was accepted. */
+struct CloudCall
+{
+  std::string path;
+  std::string body;
+  std::string holder;
+  std::uint64_t fence = 0;
+};
+
+/** Thread safety: none; belongs to the worker that serves it. */
+class PlatformCloud
+{
+public:
+  Task<void> Handle(const HttpRequest& aRequest, HttpResponder& aResponder);
+
+  std::vector<CloudCall> accepted;
+  std::size_t fenced = 0; // calls refused for a lower fence
+
+private:
+  std::uint64_t highest = 0;
+};
+
+} // namespace toucanshed::standin
--- /dev/null
+++ b/standin/platform/Store.cpp
@@ -0,0 +1,199 @@
+#include "Store.h"
+
+#include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
+#include <openssl/evp.h>
+
+namespace toucanshed::standin {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr unsigned kOk = 200;
+
+std::string
+BigEndian64(std::uint64_t aNumber)
+{
+  std::string bytes(sizeof aNumber, '\0');
+  boost::endian::store_big_u64(reinterpret_cast<unsigned char*>(bytes.data()),
+                               aNumber);
+  return bytes;
+}
+
+std::string
+WithLength(const std::string& aRecord)
+{
+  std::string bytes(kLengthBytes, '\0');
+  boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(bytes.data()),
+                               static_cast<std::uint32_t>(aRecord.size()));
+  return bytes + aRecord;
+}
+
+std::string
+Base64(const std::string& aText)
+{
+  constexpr std::size_t kRoom = 4;
+  std::string text(aText.size() * 2 + kRoom, '\0');
+  const int size =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<const unsigned char*>(aText.data()),
+                    static_cast<int>(aText.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+bool
+IsKeyed(const std::string& aTopic)
+{
+  return aTopic.starts_with("keyed.");
+}
+
+std::uint64_t
+NumberIn(std::string_view aTarget, std::string_view aName)
+{
+  const std::string text = QueryOf(aTarget, aName);
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+} // namespace
+
+std::uint64_t
+PlatformStore::EndOf(const Topic& aTopic)
+{
+  return aTopic.first + aTopic.records.size();
+}
+
+void
+PlatformStore::Add(const std::string& aTopic, const std::string& aRecord)
+{
+  Topic& topic = this->topics[aTopic];
+  if (IsKeyed(aTopic) && !aRecord.empty()) {
+    const std::size_t length = static_cast<unsigned char>(aRecord[0]);
+    const std::string key = aRecord.substr(1, length);
+    const std::string value = aRecord.substr(1 + length);
+    if (value.empty()) {
+      topic.newest.erase(key);
+    } else {
+      topic.newest[key] = { value, EndOf(topic) };
+    }
+  }
+  topic.records.push_back(aRecord);
+}
+
+void
+PlatformStore::Put(const std::string& aTopic,
+                   const std::string& aKey,
+                   const std::optional<std::string>& aValue)
+{
+  this->Add(aTopic,
+            static_cast<char>(aKey.size()) + aKey + aValue.value_or(""));
+}
+
+void
+PlatformStore::DropHistory(const std::string& aTopic)
+{
+  Topic& topic = this->topics[aTopic];
+  topic.first = EndOf(topic);
+  topic.records.clear();
+}
+
+std::size_t
+PlatformStore::RecordsOf(const std::string& aTopic) const
+{
+  const auto found = this->topics.find(aTopic);
+  return found == this->topics.end() ? 0 : found->second.records.size();
+}
+
+HttpReply
+PlatformStore::Append(const HttpRequest& aRequest)
+{
+  ++this->appends;
+  const std::string name = QueryOf(aRequest.target(), "topic");
+  const std::uint64_t begin = EndOf(this->topics[name]);
+  const std::string at = QueryOf(aRequest.target(), "at");
+  if (!at.empty() && std::stoull(at) != begin) {
+    return MakeReply(412, json::serialize(json::object{ { "end", begin } }));
+  }
+  std::string_view bytes = aRequest.body();
+  while (bytes.size() >= kLengthBytes) {
+    const std::size_t length = boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char*>(bytes.data()));
+    this->Add(name, std::string(bytes.substr(kLengthBytes, length)));
+    bytes.remove_prefix(kLengthBytes + length);
+  }
+  const json::object answer{ { "offset", begin },
+                             { "end", EndOf(this->topics[name]) } };
+  return MakeReply(kOk, json::serialize(answer));
+}
+
+HttpReply
+PlatformStore::Read(const HttpRequest& aRequest)
+{
+  ++this->reads;
+  Topic& topic = this->topics[QueryOf(aRequest.target(), "topic")];
+  const std::uint64_t from = NumberIn(aRequest.target(), "from");
+  if (from < topic.first) {
+    return MakeReply(410,
+                     json::serialize(json::object{ { "first", topic.first } }));
+  }
+  std::string body = BigEndian64(EndOf(topic)) + BigEndian64(topic.first);
+  for (std::uint64_t i = from; i < EndOf(topic); ++i) {
+    body += WithLength(topic.records[i - topic.first]);
+  }
+  return MakeReply(kOk, body, "application/octet-stream");
+}
+
+HttpReply
+PlatformStore::Newest(const HttpRequest& aRequest)
+{
+  ++this->reads;
+  Topic& topic = this->topics[QueryOf(aRequest.target(), "topic")];
+  json::array items;
+  for (const auto& [key, entry] : topic.newest) {
+    items.push_back(json::object{ { "key", key },
+                                  { "value", Base64(entry.first) },
+                                  { "offset", entry.second } });
+  }
+  const json::object answer{ { "items", items },
+                             { "more", false },
+                             { "end", EndOf(topic) } };
+  return MakeReply(kOk, json::serialize(answer));
+}
+
+Task<void>
+PlatformStore::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  if (this->down) {
+    HttpReply reply = MakeReply(503, "");
+    co_await aResponder.Send(std::move(reply));
+    co_return;
+  }
+  const std::string_view path = PathOf(aRequest.target());
+  HttpReply reply = MakeReply(404, "");
+  if (path == "/log-append") {
+    reply = this->Append(aRequest);
+    if (this->loseAnswers) {
+      co_return; // nothing was sent: the connection closes
+    }
+  } else if (path == "/log-newest") {
+    reply = this->Newest(aRequest);
+  } else if (path == "/log-read") {
+    const std::size_t before = this->reads;
+    reply = this->Read(aRequest);
+    // A reader that has all is held for as long as it asks, in small steps.
+    constexpr std::chrono::milliseconds kStep{ 10 };
+    constexpr std::size_t kHead = 16;
+    std::chrono::milliseconds left(NumberIn(aRequest.target(), "wait_ms"));
+    while (reply.body().size() == kHead && left > kStep && !this->down) {
+      co_await Sleep(kStep);
+      left -= kStep;
+      reply = this->Read(aRequest);
+    }
+    this->reads = before + 1;
+  }
+  co_await aResponder.Send(std::move(reply));
+}
+
+} // namespace toucanshed::standin
--- /dev/null
+++ b/standin/platform/Store.h
@@ -0,0 +1,55 @@
+/** \file
+ * A small stand-in for the platform's store: topics in memory, read and
+ * appended over HTTP, with switches for what goes wrong.
+ */
+#pragma once
+
+#include "edge/HttpResponder.h"
+#include "edge/HttpTypes.h"
+#include "edge/Worker.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucanshed::standin {
+
+/** Thread safety: none; belongs to the worker that serves it. */
+class PlatformStore
+{
+public:
+  /** Answers one call. */
+  Task<void> Handle(const HttpRequest& aRequest, HttpResponder& aResponder);
+
+  /** Appends a keyed record as operators and engines do. */
+  void Put(const std::string& aTopic,
+           const std::string& aKey,
+           const std::optional<std::string>& aValue);
+  /** Drops a topic's history; the newest record of each key stays. */
+  void DropHistory(const std::string& aTopic);
+  [[nodiscard]] std::size_t RecordsOf(const std::string& aTopic) const;
+
+  bool down = false;        // every call is answered with 503
+  bool loseAnswers = false; // appends take effect and are not answered
+  std::size_t reads = 0;
+  std::size_t appends = 0;
+
+private:
+  struct Topic
+  {
+    std::uint64_t first = 0; // position of records[0]
+    std::vector<std::string> records;
+    std::map<std::string, std::pair<std::string, std::uint64_t>> newest;
+  };
+
+  HttpReply Append(const HttpRequest& aRequest);
+  HttpReply Read(const HttpRequest& aRequest);
+  HttpReply Newest(const HttpRequest& aRequest);
+  static std::uint64_t EndOf(const Topic& aTopic);
+  void Add(const std::string& aTopic, const std::string& aRecord);
+
+  std::map<std::string, Topic> topics;
+};
+
+} // namespace toucanshed::standin
--- /dev/null
+++ b/test/PlatformWorld.h
@@ -0,0 +1,89 @@
+/** \file
+ * One serving daemon's parts with small stand-ins of the platform, all on one
+ * worker of the test's own thread.
+ */
+#pragma once
+
+#include "edge/HttpExchange.h"
+#include "edge/HttpServer.h"
+#include "serve/ServingState.h"
+#include "standin/platform/Cloud.h"
+#include "standin/platform/Engine.h"
+#include "standin/platform/Store.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace toucanshed::test {
+
+/** What a caller sees of one request. */
+struct CallerView
+{
+  unsigned status = 0; // 0: no answer
+  std::string body;
+  std::string seal;
+  std::string comeBack; // Retry-After
+  bool complete = false;
+};
+
+/** A request as a caller sends it. */
+struct CallerSend
+{
+  std::string path = "/book/1";
+  std::string attempt = "a1";
+  std::string key = "key-one";
+  std::string body = "{}";
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+class PlatformWorld
+{
+public:
+  /** \param aPort first of the ports that the world may use. */
+  explicit PlatformWorld(std::uint16_t aPort);
+  ~PlatformWorld();
+  PlatformWorld(const PlatformWorld&) = delete;
+  PlatformWorld& operator=(const PlatformWorld&) = delete;
+
+  /** The configuration that the world starts with, as operators write it:
+   * /book/ may run once, /look/ is idempotent, /chat/ streams once, /report/ is
+   * a resumable stream; each may be run by two back ends. */
+  static std::string CatalogText(std::uint64_t aVersion,
+                                 const std::string& aKey = "key-one");
+
+  /** Adds an engine of a service: "plain" or "model". */
+  standin::PlatformEngine& AddEngine(const std::string& aId,
+                                     const std::string& aService);
+  /** An engine's entry as it writes it to the store. */
+  std::string EntryOf(const std::string& aId,
+                      const std::string& aState = "ready") const;
+  /** Sends one request to the daemon. */
+  Task<CallerView> Ask(CallerSend aSend);
+  /** Runs the test's coroutine to its end. */
+  void Run(Task<void> aTask);
+
+  standin::PlatformStore store;
+  standin::PlatformCloud cloud;
+  std::unique_ptr<ServingState> state;
+
+private:
+  struct Server;
+
+  Endpoint Serve(HttpHandler aHandler);
+
+  std::uint16_t port;
+  Endpoint callers;
+  std::vector<std::unique_ptr<HttpServer>> servers;
+  std::map<std::string, std::unique_ptr<standin::PlatformEngine>> engines;
+  std::map<std::string, std::pair<std::string, Endpoint>> places;
+};
+
+/** A second daemon's state that shares the world's store and cloud. */
+std::unique_ptr<ServingState>
+MakeServingState(const std::string& aId,
+                 const Endpoint& aStore,
+                 const Endpoint& aCloud,
+                 std::uint16_t aPeerPort);
+
+} // namespace toucanshed::test
--- /dev/null
+++ b/test/correctness/EventSplitterTest.cpp
@@ -0,0 +1,72 @@
+#include "coord/EventSplitter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace toucanshed::test {
+namespace {
+
+std::string
+EventText(std::uint64_t aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: x\n\n";
+}
+
+std::string
+TakeAll(EventSplitter& aSplitter)
+{
+  std::string text;
+  while (auto event = aSplitter.Next()) {
+    text += event->bytes;
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("events leave whole, wherever the bytes are cut")
+{
+  rc::prop("any cuts", [] {
+    std::string whole;
+    for (std::uint64_t id = 0; id < 6; ++id) {
+      whole += EventText(id);
+    }
+    EventSplitter splitter;
+    std::string seen;
+    std::string rest = whole;
+    while (!rest.empty()) {
+      const auto cut = *rc::gen::inRange<std::size_t>(1, rest.size() + 1);
+      splitter.Add(rest.substr(0, cut));
+      rest.erase(0, cut);
+      const std::string given = TakeAll(splitter);
+      RC_ASSERT(given.empty() || given.ends_with("\n\n"));
+      seen += given;
+    }
+    RC_ASSERT(seen == whole);
+    RC_ASSERT(!splitter.HasRest());
+  });
+}
+
+TEST_CASE("a stream taken up elsewhere neither repeats nor skips")
+{
+  EventSplitter splitter;
+  splitter.Add(EventText(4) + EventText(5) + "id: 6\nda");
+  CHECK(TakeAll(splitter) == EventText(4) + EventText(5));
+  splitter.Restart();
+  splitter.Add(EventText(5) + EventText(6));
+  CHECK(TakeAll(splitter) == EventText(6));
+  splitter.Add(EventText(8));
+  CHECK(TakeAll(splitter).empty());
+  CHECK(splitter.Broken());
+}
+
+TEST_CASE("line ends of both kinds separate events")
+{
+  EventSplitter splitter;
+  splitter.Add("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n");
+  CHECK(splitter.Next()->id == 1);
+  CHECK(splitter.Next()->id == 2);
+  CHECK_FALSE(splitter.Next().has_value());
+}
+
+} // namespace toucanshed::test
--- /dev/null
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -0,0 +1,169 @@
+#include "coord/ScalePlanner.h"
+
+#include <catch2/catch.hpp>
+
+namespace toucanshed::test {
+namespace {
+
+const ServiceId kService{ "model" };
+
+ServiceSpec
+FourZones()
+{
+  ScaleBounds bounds;
+  bounds.least = 1;
+  bounds.most = 6;
+  bounds.reclaimablePrice = 0.18;
+  bounds.zonePrices = { { ZoneId{ "a" }, 1.0 },
+                        { ZoneId{ "b" }, 0.8 },
+                        { ZoneId{ "c" }, 1.25 },
+                        { ZoneId{ "d" }, 0.9 } };
+  ServiceSpec service;
+  service.id = kService;
+  service.engine = EngineTraits{};
+  service.engine->slots = 32;
+  service.scale = bounds;
+  return service;
+}
+
+/** Engines that come when they are ordered. */
+struct ScaleWorld
+{
+  void Add(const std::string& aZone, bool aReclaimable, unsigned aCount)
+  {
+    for (unsigned i = 0; i < aCount; ++i) {
+      BackendEntry entry;
+      entry.id = InstanceId{ "e" + std::to_string(this->next++) };
+      entry.service = kService;
+      entry.zone = ZoneId{ aZone };
+      entry.reclaimable = aReclaimable;
+      this->table.Put(entry, this->now);
+    }
+  }
+
+  unsigned Count(const std::string& aZone, bool aReclaimable) const
+  {
+    unsigned count = 0;
+    for (const auto& [id, backend] : this->table.All()) {
+      const bool counts = !backend.leaving &&
+                          backend.entry.reclaimable == aReclaimable &&
+                          (aZone.empty() || backend.entry.zone.value == aZone);
+      count += counts ? 1 : 0;
+    }
+    return count;
+  }
+
+  void Reclaim(const std::string& aZone)
+  {
+    for (const auto& [id, backend] : this->table.All()) {
+      if (backend.entry.zone.value == aZone && backend.entry.reclaimable) {
+        this->table.MarkLeaving(id);
+      }
+    }
+  }
+
+  void Obey(const GroupOrder& aOrder)
+  {
+    const std::string& zone = aOrder.group.zone.value;
+    const unsigned there = this->Count(zone, aOrder.group.reclaimable);
+    if (aOrder.desired > there) {
+      this->Add(zone, aOrder.group.reclaimable, aOrder.desired - there);
+    }
+    unsigned surplus = there > aOrder.desired ? there - aOrder.desired : 0;
+    for (const auto& [id, backend] : this->table.All()) {
+      const bool goes = surplus > 0 && !backend.leaving &&
+                        backend.entry.zone == aOrder.group.zone &&
+                        backend.entry.reclaimable == aOrder.group.reclaimable;
+      if (goes) {
+        this->table.MarkLeaving(id);
+        --surplus;
+      }
+    }
+  }
+
+  /** One review a second. \return how many orders were given. */
+  std::size_t Play(double aNeeded, int aSeconds, bool aNoneToBeHad = false)
+  {
+    constexpr Millis kSecond{ 1000 };
+    std::size_t given = 0;
+    for (int i = 0; i < aSeconds; ++i) {
+      this->now = this->now + kSecond;
+      for (const GroupOrder& order :
+           this->planner.Plan(FourZones(), aNeeded, this->table, this->now)) {
+        ++given;
+        const bool refused =
+          aNoneToBeHad && order.group.reclaimable &&
+          order.desired > this->Count(order.group.zone.value, true);
+        if (refused) {
+          this->planner.Refused(order, this->now);
+        } else {
+          this->planner.Accepted(order, this->now);
+          this->Obey(order);
+        }
+      }
+    }
+    return given;
+  }
+
+  BackendTable table;
+  ScalePlanner planner;
+  TimePoint now{ 1000 };
+  int next = 0;
+};
+
+} // namespace
+
+TEST_CASE("an operator's engines stay until others can bear their work")
+{
+  // A peak may begin at once. Before any demand was seen, on-demand engines
+  // are given up only as far as those that stay are enough for what the
+  // operator has sized the service for.
+  ScaleWorld world;
+  for (const char* zone : { "a", "b", "c", "d" }) {
+    world.Add(zone, false, 4);
+  }
+  for (int second = 0; second < 20; ++second) {
+    world.Play(0, 1);
+    CHECK(world.Count("", true) + world.Count("", false) >=
+          16 * ScalePlanner::kFirstPart);
+  }
+  CHECK(world.Count("", false) < 8);
+}
+
+TEST_CASE("one failure domain's reclaim leaves the engines that are needed")
+{
+  ScaleWorld world;
+  world.Add("a", false, 2);
+  world.Play(8, 40);
+  for (const char* zone : { "a", "b", "c", "d" }) {
+    ScaleWorld reclaimed = world;
+    reclaimed.Reclaim(zone);
+    CHECK(reclaimed.Count("", true) + reclaimed.Count("", false) >= 8);
+  }
+}
+
+TEST_CASE("on-demand engines stand in while reclaimable ones cannot be had")
+{
+  ScaleWorld world;
+  world.Add("a", false, 2);
+  world.Play(8, 40);
+  const unsigned calm = world.Count("", false);
+  for (const char* zone : { "a", "b", "d" }) {
+    world.Reclaim(zone);
+  }
+  world.Play(8, 6, true);
+  CHECK(world.Count("", true) + world.Count("", false) >= 8);
+  CHECK(world.Count("", false) > calm);
+  world.Play(8, 20);
+  CHECK(world.Count("", false) == calm);
+}
+
+TEST_CASE("a steady demand gives no further orders")
+{
+  ScaleWorld world;
+  world.Add("a", false, 2);
+  world.Play(8, 40);
+  CHECK(world.Play(8, 40) == 0);
+}
+
+} // namespace toucanshed::test
--- /dev/null
+++ b/test/failure/DutyTest.cpp
@@ -0,0 +1,107 @@
+#include "test/PlatformWorld.h"
+
+#include "serve/DutyKeeper.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace toucanshed::test {
+namespace {
+
+void
+CountRequests(ServingState& aState, int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aState.usage.Count(TeamId{ "team-one" }, aState.TrueMs());
+  }
+}
+
+/** Windows with the distinct bodies that were accepted for each. */
+std::map<std::string, std::set<std::string>>
+Reports(const standin::PlatformCloud& aCloud)
+{
+  std::map<std::string, std::set<std::string>> reports;
+  for (const auto& call : aCloud.accepted) {
+    const auto comma = call.body.find(',');
+    reports[call.body.substr(0, comma)].insert(call.body);
+  }
+  return reports;
+}
+
+} // namespace
+
+TEST_CASE("a holder claims once and reports each window once")
+{
+  PlatformWorld world(22300);
+  DutyKeeper keeper(*world.state);
+  CountRequests(*world.state, 5);
+  world.Run([](PlatformWorld& aWorld, DutyKeeper& aKeeper) -> Task<void> {
+    aWorld.state->pool.First().Spawn(aKeeper.Run());
+    co_await Sleep(std::chrono::milliseconds(4000));
+  }(world, keeper));
+  CHECK(world.state->dutyFence.value == 1);
+  REQUIRE_FALSE(world.cloud.accepted.empty());
+  std::size_t counted = 0;
+  for (const auto& [window, bodies] : Reports(world.cloud)) {
+    CHECK(bodies.size() == 1);
+    counted += bodies.begin()->find("\"team-one\":5") != std::string::npos;
+  }
+  CHECK(counted == 1);
+  CHECK(world.cloud.fenced == 0);
+}
+
+TEST_CASE("a holder that was overtaken gives up before it acts")
+{
+  // A daemon claims the duties and is cut off from the others' words; another
+  // one, which hears nothing of it, claims after the lease. The first one's
+  // next record meets the second one's claim, so it steps down without having
+  // sent a report of its own, and no window has two reports.
+  PlatformWorld world(22310);
+  const Endpoint storeAt(boost::asio::ip::address_v4::loopback(), 22310);
+  const Endpoint cloudAt(boost::asio::ip::address_v4::loopback(), 22311);
+  const auto other = MakeServingState("daemon-2", storeAt, cloudAt, 22318);
+  DutyKeeper keeper(*world.state);
+  DutyKeeper rival(*other);
+  CountRequests(*world.state, 3);
+  CountRequests(*other, 4);
+  world.Run([](PlatformWorld& aWorld,
+               DutyKeeper& aKeeper,
+               DutyKeeper& aRival) -> Task<void> {
+    aWorld.state->pool.First().Spawn(aKeeper.Run());
+    co_await Sleep(std::chrono::milliseconds(1200));
+    aWorld.state->pool.First().Spawn(aRival.Run());
+    co_await Sleep(std::chrono::milliseconds(4000));
+  }(world, keeper, rival));
+  for (const auto& [window, bodies] : Reports(world.cloud)) {
+    CHECK(bodies.size() == 1);
+  }
+  std::map<std::uint64_t, std::set<std::string>> holders;
+  for (const auto& call : world.cloud.accepted) {
+    holders[call.fence].insert(call.holder);
+  }
+  for (const auto& [fence, names] : holders) {
+    CHECK(names.size() == 1);
+  }
+  CHECK_FALSE(world.cloud.accepted.empty());
+}
+
+TEST_CASE("an append whose answer is lost is settled by reading, not by guess")
+{
+  // The claim takes effect and its answer is lost. The daemon does not know
+  // that it holds the duties, and must not claim again over its own claim
+  // without reading first; it acts only under a claim that it has read back.
+  PlatformWorld world(22320);
+  DutyKeeper keeper(*world.state);
+  world.store.loseAnswers = true;
+  world.Run([](PlatformWorld& aWorld, DutyKeeper& aKeeper) -> Task<void> {
+    aWorld.state->pool.First().Spawn(aKeeper.Run());
+    co_await Sleep(std::chrono::milliseconds(900));
+    CHECK(aWorld.cloud.accepted.empty());
+    aWorld.store.loseAnswers = false;
+    co_await Sleep(std::chrono::milliseconds(2500));
+  }(world, keeper));
+  CHECK(world.state->dutyFence.value > 1);
+  CHECK(world.cloud.fenced == 0);
+}
+
+} // namespace toucanshed::test
--- /dev/null
+++ b/test/failure/StoreFeedTest.cpp
@@ -0,0 +1,138 @@
+#include "test/PlatformWorld.h"
+
+#include "serve/StoreFeed.h"
+
+#include <catch2/catch.hpp>
+
+namespace toucanshed::test {
+namespace {
+
+constexpr const char* kOperator = "keyed.op";
+constexpr const char* kServers = "keyed.servers";
+
+/** Long enough for a read that waits to be answered and the next to begin. */
+Task<void>
+Settle()
+{
+  co_await Sleep(std::chrono::milliseconds(120));
+}
+
+/** As Settle, with time for the list's next read. */
+Task<void>
+SettleList()
+{
+  co_await Sleep(std::chrono::milliseconds(900));
+}
+
+} // namespace
+
+TEST_CASE("a change of the configuration is in force at once and never reverts")
+{
+  // An operator writes version 7, then an older one lands late. The daemon
+  // must stay at 7; going back would let a key that was taken away in again.
+  PlatformWorld world(22200);
+  world.state->catalog = nullptr;
+  std::uint64_t first = 0;
+  std::uint64_t afterOld = 0;
+  world.store.Put(kOperator, "config", PlatformWorld::CatalogText(3));
+  world.Run([](PlatformWorld& aWorld,
+               std::uint64_t& aFirst,
+               std::uint64_t& aAfterOld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowOperator(*aWorld.state));
+    co_await Settle();
+    aWorld.store.Put(kOperator, "config", PlatformWorld::CatalogText(7));
+    co_await Settle();
+    aFirst = aWorld.state->catalog->version;
+    aWorld.store.Put(kOperator, "config", PlatformWorld::CatalogText(5));
+    co_await Settle();
+    aAfterOld = aWorld.state->catalog->version;
+  }(world, first, afterOld));
+  CHECK(first == 7);
+  CHECK(afterOld == 7);
+}
+
+TEST_CASE("a reader whose history was dropped goes on from the newest records")
+{
+  PlatformWorld world(22210);
+  world.store.Put(kOperator, "config", PlatformWorld::CatalogText(3));
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowOperator(*aWorld.state));
+    co_await Settle();
+    aWorld.store.down = true;
+    co_await Settle();
+    aWorld.store.Put(kOperator, "config", PlatformWorld::CatalogText(9));
+    aWorld.store.DropHistory(kOperator);
+    aWorld.store.down = false;
+    co_await Sleep(std::chrono::milliseconds(500));
+  }(world));
+  CHECK(world.state->catalog->version == 9);
+  CHECK_FALSE(world.state->storeLost.has_value());
+}
+
+TEST_CASE("an entry that cannot be read names no engine, the others hold")
+{
+  PlatformWorld world(22220);
+  world.AddEngine("e1", "plain");
+  world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  world.store.Put(kServers, "odd", "{\"service\": 5");
+  world.store.Put(kServers, "odder", "{\"service\":\"plain\",\"slots\":\"x\"}");
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
+    co_await Settle();
+  }(world));
+  CHECK(world.state->backends.All().size() == 1);
+  CHECK(world.state->backends.Find(InstanceId{ "e1" }) != nullptr);
+}
+
+TEST_CASE("a leaving engine gets nothing more once its entry is read")
+{
+  PlatformWorld world(22230);
+  auto& leaving = world.AddEngine("e1", "plain");
+  world.AddEngine("e2", "plain");
+  world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  world.store.Put(kServers, "e2", world.EntryOf("e2"));
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
+    co_await Settle();
+    aWorld.store.Put(kServers, "e1", aWorld.EntryOf("e1", "draining"));
+    co_await SettleList();
+    for (int i = 0; i < 8; ++i) {
+      CallerSend send;
+      send.attempt = "a" + std::to_string(i);
+      const CallerView seen = co_await aWorld.Ask(send);
+      CHECK(seen.status == 200);
+    }
+  }(world));
+  CHECK(leaving.arrivals.empty());
+}
+
+TEST_CASE("engines whose entries lapsed with the store are still used")
+{
+  // The store is away and drops the entries of engines that could not reach
+  // it. They live; within two seconds of its return they are listed again.
+  // Until then requests go on to them instead of being refused.
+  PlatformWorld world(22240);
+  world.AddEngine("e1", "plain");
+  world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  unsigned during = 0;
+  world.Run([](PlatformWorld& aWorld, unsigned& aDuring) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
+    co_await Settle();
+    aWorld.store.down = true;
+    co_await SettleList();
+    aWorld.store.Put(kServers, "e1", std::nullopt);
+    aWorld.store.down = false;
+    co_await Sleep(std::chrono::milliseconds(400));
+    CallerSend send;
+    const CallerView seen = co_await aWorld.Ask(std::move(send));
+    aDuring = seen.status;
+  }(world, during));
+  CHECK(during == 200);
+  const Backend* kept = world.state->backends.Find(InstanceId{ "e1" });
+  REQUIRE(kept != nullptr);
+  // Not listed again in time, it is taken as gone.
+  world.state->backends.Expire(ServingState::Now() + BackendTable::kRelistTime);
+  CHECK(world.state->backends.All().empty());
+}
+
+} // namespace toucanshed::test
