Stalled and slow engines are passed over; crash facts from a look after a cut

Cause: chats on an engine that goes dark hang to their deadline, and each new one may follow; slow engines were chosen like others; crashes were never stated as facts, so a request that crashes engines was never given up. Change: Backend::Stalled, slowness by seen against expected time, NoteIfCrashed.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -84,6 +84,32 @@
   }
 }
 
+void
+BackendTable::Progressed(const InstanceId& aId, TimePoint aNow)
+{
+  if (Backend* backend = this->Find(aId)) {
+    backend->progressAt = aNow;
+  }
+}
+
+void
+BackendTable::Began(const InstanceId& aId, double aSeenMs, double aExpectedMs)
+{
+  constexpr double kNewest = 0.15; // about the last six answers count
+  constexpr double kFastest = 0.5;
+  constexpr double kSlowest = 8;
+  // Below this, differences are the network's and this daemon's own.
+  constexpr double kLeastMs = 25;
+  Backend* backend = this->Find(aId);
+  if (backend == nullptr) {
+    return;
+  }
+  const double ratio =
+    std::max(aSeenMs, kLeastMs) / std::max(aExpectedMs, kLeastMs);
+  backend->slowness +=
+    kNewest * (std::clamp(ratio, kFastest, kSlowest) - backend->slowness);
+}
+
 void
 BackendTable::Failed(const InstanceId& aId, TimePoint aNow)
 {
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -52,7 +52,21 @@
   double failureShare = 0; // of the newest answers, newer ones count more
   TimePoint pausedUntil;   // not chosen before, after failures in a row
   unsigned failuresInRow = 0;
-  double speed = 1; // answers seen against expected; above 1 is slower
+  double slowness = 1; // time to begin, seen against expected
+  /** When something last came from it, or, if later, when it was sent something
+   * while it had nothing else to do. */
+  TimePoint progressAt;
+
+  /** It has work of this daemon and nothing has come from it for too long: it
+   * hangs, or the path to it is dead, and more requests would hang with it. */
+  [[nodiscard]] bool Stalled(TimePoint aNow) const
+  {
+    return this->own.running > 0 && aNow - this->progressAt > kStalled;
+  }
+
+  /** Engines begin within some hundred ms, also behind long prompts, and give a
+   * token every few ms after that. */
+  static constexpr Millis kStalled{ 900 };
 
   [[nodiscard]] std::int64_t Running() const
   {
@@ -98,6 +112,10 @@
   void MarkLeaving(const InstanceId& aId);
   /** An answer of use came from it. */
   void Succeeded(const InstanceId& aId);
+  /** Something came from it. */
+  void Progressed(const InstanceId& aId, TimePoint aNow);
+  /** It began an answer after aSeenMs, where aExpectedMs were expected. */
+  void Began(const InstanceId& aId, double aSeenMs, double aExpectedMs);
   /** It failed, or could not be reached. */
   void Failed(const InstanceId& aId, TimePoint aNow);
 
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -29,6 +29,7 @@
        TimePoint aNow)
 {
   return !aBackend.leaving && aBackend.pausedUntil <= aNow &&
+         !aBackend.Stalled(aNow) &&
          !aRequest.passedOver.contains(aBackend.entry.id);
 }
 
@@ -89,7 +90,7 @@
   // Each running request makes every step a little longer.
   const double steps = this->speed.tokenMs * (1 + fill);
   const double over = std::max(0.0, fill - 1) * slots * this->speed.tokenMs;
-  return aBackend.speed * (reading / this->speed.promptTokensPerMs + steps) +
+  return aBackend.slowness * (reading / this->speed.promptTokensPerMs + steps) +
          over * 10 + aBackend.failureShare * kFailureCostMs;
 }
 
--- a/src/serve/BackendUse.h
+++ b/src/serve/BackendUse.h
@@ -16,11 +16,17 @@
   BackendUse(BackendTable& aTable,
              InstanceId aBackend,
              std::int64_t aPromptTokens,
-             std::int64_t aOutputTokens)
+             std::int64_t aOutputTokens,
+             TimePoint aNow)
     : table(aTable)
     , backend(std::move(aBackend))
     , load{ 1, aPromptTokens, aOutputTokens }
   {
+    const Backend* found = this->table.Find(this->backend);
+    const bool idle = found != nullptr && found->own.running == 0;
+    if (idle) {
+      this->table.Progressed(this->backend, aNow);
+    }
     this->Add(1);
   }
   ~BackendUse() { this->Add(-1); }
--- /dev/null
+++ b/src/serve/CrashWatch.cpp
@@ -0,0 +1,55 @@
+#include "CrashWatch.h"
+
+#include "ServingState.h"
+#include "coord/SuspectTable.h"
+#include "edge/Worker.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace toucanshed {
+
+namespace net = boost::asio;
+
+namespace {
+
+/** After the cut, so that a process that is dying has let go of its port. */
+constexpr Millis kLookAfter{ 30 };
+constexpr Millis kConnectTime{ 300 };
+
+} // namespace
+
+Task<void>
+NoteIfCrashed(ServingState& aState,
+              InstanceId aBackend,
+              Fingerprint aFingerprint)
+{
+  const Backend* backend = aState.backends.Find(aBackend);
+  if (backend == nullptr || backend->leaving) {
+    co_return; // it was expected to go
+  }
+  const auto endpoint = ParseEndpoint(backend->entry.address);
+  const std::string engineLife =
+    aBackend.value + "/" + std::to_string(backend->entry.born);
+  if (!endpoint) {
+    co_return;
+  }
+  co_await Sleep(kLookAfter);
+  boost::system::error_code error;
+  boost::beast::tcp_stream probe(aState.pool.First().context);
+  probe.expires_after(kConnectTime);
+  co_await probe.async_connect(*endpoint,
+                               net::redirect_error(net::use_awaitable, error));
+  if (!error) {
+    co_return;
+  }
+  const TimePoint now = ServingState::Now();
+  aState.facts.Add(SuspectTable::CrashFact(aFingerprint, engineLife, now), now);
+  aState.log.Emit(Event("backend.crashed")
+                    .With("backend", aBackend)
+                    .With("request_fingerprint", aFingerprint.value)
+                    .With("reason", error.message()));
+}
+
+} // namespace toucanshed
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -1,6 +1,7 @@
 #include "RequestRun.h"
 
 #include "BackendUse.h"
+#include "CrashWatch.h"
 #include "OwnAnswers.h"
 #include "ServingState.h"
 #include "coord/SuspectTable.h"
@@ -211,11 +212,13 @@
   const CallTimeouts timeouts{ std::min(kConnectTime, this->Left()),
                                this->Patience(),
                                this->Patience() };
-  BackendUse use(
+  BackendUse current(
     this->state.backends,
     aPlacement.backend,
     static_cast<std::int64_t>(aPlacement.uncachedTokens),
-    static_cast<std::int64_t>(this->request.incoming.mostOutputTokens));
+    static_cast<std::int64_t>(this->request.incoming.mostOutputTokens),
+    this->sentAt);
+  this->use = &current;
   this->state.tellSent(aPlacement.backend,
                        static_cast<std::int64_t>(aPlacement.uncachedTokens));
   this->state.promptRates[this->request.service].Add(
@@ -238,6 +241,11 @@
     this->mayHaveRun = true;
     ++this->runs;
   }
+  this->use = nullptr;
+  if (outcome == SendOutcome::eMayHaveRun) {
+    this->state.pool.First().Spawn(NoteIfCrashed(
+      this->state, aPlacement.backend, this->request.fingerprint));
+  }
   const bool failed = outcome == SendOutcome::eMayHaveRun ||
                       (!exchange && outcome == SendOutcome::eNotRun);
   if (failed) {
@@ -279,11 +287,13 @@
     return;
   }
   this->beganHere = true;
+  this->use->Began();
   const TimePoint now = ServingState::Now();
   const auto took = static_cast<double>((now - this->sentAt).count());
   this->PlacerOf().Began(
     static_cast<double>(aPlacement.uncachedTokens + aPlacement.aheadTokens),
     took);
+  this->state.backends.Began(aPlacement.backend, took, aPlacement.expectedMs);
   this->state.metrics.FirstToken(
     static_cast<double>((now - this->request.arrived).count()));
   if (this->firstEventAt.ms == 0) {
@@ -341,6 +351,7 @@
   }
   this->NoteBegun(aPlacement);
   const TimePoint now = ServingState::Now();
+  this->state.backends.Progressed(aPlacement.backend, now);
   if (this->lastEventAt.ms != 0) {
     this->longestGap = std::max(this->longestGap, now - this->lastEventAt);
   }
@@ -381,6 +392,7 @@
     }
     reply.body() += **piece;
   }
+  this->state.backends.Progressed(aPlacement.backend, ServingState::Now());
   const bool failure = status >= kServerError;
   if (failure) {
     this->state.backends.Failed(aPlacement.backend, ServingState::Now());
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -14,8 +14,8 @@
 
 namespace toucanshed {
 
+class BackendUse;
 struct ServingState;
-struct WireFormats;
 
 /** How one send to a back end ended. */
 enum class SendOutcome
@@ -76,6 +76,7 @@
   EventSplitter splitter;
   std::set<InstanceId> passedOver;
   InstanceId lastBackend;
+  BackendUse* use = nullptr; // of the current send
   unsigned sends = 0;
   unsigned runs = 0; // sends after which it may have run
   bool mayHaveRun = false;
--- a/test/PlatformWorld.cpp
+++ b/test/PlatformWorld.cpp
@@ -125,12 +125,19 @@
     this->Serve([&served](Worker&, const HttpRequest& aIn, HttpResponder& aTo) {
       return served.Handle(aIn, aTo);
     });
+  this->engineServers[aId] = this->servers.back().get();
   this->places[aId] = { aService, endpoint };
   this->state->backends.Put(*platform::ParseBackendEntry(aId, EntryOf(aId)),
                             ServingState::Now());
   return served;
 }
 
+void
+PlatformWorld::StopEngine(const std::string& aId)
+{
+  this->engineServers.at(aId)->Close();
+}
+
 std::string
 PlatformWorld::EntryOf(const std::string& aId, const std::string& aState) const
 {
--- a/test/PlatformWorld.h
+++ b/test/PlatformWorld.h
@@ -55,6 +55,8 @@
   /** Adds an engine of a service: "plain" or "model". */
   standin::PlatformEngine& AddEngine(const std::string& aId,
                                      const std::string& aService);
+  /** The engine stops listening, as a crashed one does. */
+  void StopEngine(const std::string& aId);
   /** An engine's entry as it writes it to the store. */
   std::string EntryOf(const std::string& aId,
                       const std::string& aState = "ready") const;
@@ -68,8 +70,6 @@
   std::unique_ptr<ServingState> state;
 
 private:
-  struct Server;
-
   Endpoint Serve(HttpHandler aHandler);
 
   std::uint16_t port;
@@ -77,6 +77,7 @@
   std::vector<std::unique_ptr<HttpServer>> servers;
   std::map<std::string, std::unique_ptr<standin::PlatformEngine>> engines;
   std::map<std::string, std::pair<std::string, Endpoint>> places;
+  std::map<std::string, HttpServer*> engineServers;
 };
 
 /** A second daemon's state that shares the world's store and cloud. */
--- a/test/failure/ServingRequestTest.cpp
+++ b/test/failure/ServingRequestTest.cpp
@@ -230,4 +230,43 @@
   CHECK(AskOnce(world, send).status == 401);
 }
 
+TEST_CASE("a request that three engines crashed with is sent no more")
+{
+  // A request crashes every engine that runs it, and its caller sends it again.
+  // After the third crash it is answered at once, by every daemon that has
+  // heard of the crashes, and a fourth engine stays up.
+  PlatformWorld world(22120);
+  for (const char* id : { "e1", "e2", "e3", "e4" }) {
+    world.AddEngine(id, "model")
+      .steps.assign(1, standin::EngineStep{ Kind::eCutAfter, 0, false });
+  }
+  std::size_t crashes = 0;
+  unsigned last = 0;
+  world.Run([](PlatformWorld& aWorld,
+               std::size_t& aCrashes,
+               unsigned& aLast) -> Task<void> {
+    for (int i = 0; i < 8; ++i) {
+      CallerSend send = To("/chat/bad");
+      send.attempt = "a" + std::to_string(i);
+      const CallerView seen = co_await aWorld.Ask(std::move(send));
+      aLast = seen.status;
+      for (const char* id : { "e1", "e2", "e3", "e4" }) {
+        Backend* backend = aWorld.state->backends.Find(InstanceId{ id });
+        if (backend->failuresInRow > 0) {
+          ++aCrashes;
+          aWorld.StopEngine(id);
+          aWorld.state->backends.Succeeded(InstanceId{ id });
+          aWorld.state->backends.MarkLeaving(InstanceId{ id });
+          // Its crash is looked into while its entry still stands.
+          backend->leaving = false;
+          co_await Sleep(std::chrono::milliseconds(80));
+          backend->leaving = true;
+        }
+      }
+    }
+  }(world, crashes, last));
+  CHECK(crashes == 3);
+  CHECK(last == 502);
+}
+
 } // namespace toucanshed::test
