Moves to another version: a canary within the exposure limit, taken back by evidence

Cause: an order for a new version would have let its engines share the traffic by load, far beyond a tenth. Change: VersionMoves bounds the share by construction, also for faults that show late; the evidence and test of the product's own moves judge it; the holder records the decision and writes the status once. Ruled out: growing shares, which give a late fault more than a tenth.

--- a/src/base/Types.h
+++ b/src/base/Types.h
@@ -47,6 +47,12 @@
   return TimePoint{ aPoint.ms + aDelay.count() };
 }
 
+inline TimePoint
+operator-(TimePoint aPoint, Millis aDelay)
+{
+  return TimePoint{ aPoint.ms - aDelay.count() };
+}
+
 inline Millis
 operator-(TimePoint aLater, TimePoint aEarlier)
 {
--- a/src/coord/DutyLog.h
+++ b/src/coord/DutyLog.h
@@ -49,6 +49,12 @@
   }
   /** When the newest record was read; a holder that lives adds some. */
   [[nodiscard]] TimePoint NewestAt() const { return this->newestAt; }
+  /** The newest decision about a service's move, by the service's name. */
+  [[nodiscard]] const std::map<std::string, serving::MoveDecision>& Moves()
+    const
+  {
+    return this->moves;
+  }
   /** What was recorded for each window. */
   [[nodiscard]] const std::map<std::uint64_t, serving::UsageReport>& Reports()
     const
@@ -61,6 +67,7 @@
   std::optional<DutyClaim> claim;
   TimePoint newestAt;
   std::map<std::uint64_t, serving::UsageReport> reports;
+  std::map<std::string, serving::MoveDecision> moves;
 };
 
 } // namespace toucanshed
--- a/src/serve/DutyKeeper.cpp
+++ b/src/serve/DutyKeeper.cpp
@@ -1,5 +1,6 @@
 #include "DutyKeeper.h"
 
+#include "MoveWatch.h"
 #include "ServingState.h"
 #include "StoreClient.h"
 #include "edge/HttpExchange.h"
@@ -237,11 +238,84 @@
   if (this->state.settings.reportsUsage) {
     co_await this->ReportUsage();
   }
+  if (this->Holds()) {
+    co_await this->DecideMoves();
+  }
   if (this->state.settings.ordersEngines && this->Holds()) {
     co_await this->OrderEngines();
   }
 }
 
+Task<void>
+DutyKeeper::DecideMoves()
+{
+  for (const VersionMove& move : this->state.moves.All()) {
+    const Position order = move.order.position;
+    if (this->statusWritten.contains(order)) {
+      continue;
+    }
+    const auto known = this->records.Moves().find(move.order.service.value);
+    const bool recorded = known != this->records.Moves().end() &&
+                          known->second.order() == order.value;
+    if (!recorded) {
+      const auto stage = this->DecideMove(move);
+      if (!stage) {
+        continue;
+      }
+      serving::DutyRecord record;
+      record.mutable_move()->set_service(move.order.service.value);
+      record.mutable_move()->set_order(order.value);
+      record.mutable_move()->set_target(move.order.target.value);
+      record.mutable_move()->set_completed(*stage == MoveStage::eCompleted);
+      const bool stands = co_await this->Record(std::move(record));
+      if (!stands) {
+        co_return;
+      }
+    }
+    co_await this->WriteMoveStatus(move);
+  }
+}
+
+std::optional<MoveStage>
+DutyKeeper::DecideMove(const VersionMove& aMove)
+{
+  if (aMove.stage != MoveStage::eActive) {
+    return aMove.stage; // some daemon has taken it back already
+  }
+  const VersionFinding finding = JudgeMove(this->state, aMove);
+  const auto stage =
+    this->state.moves.Decide(aMove, finding, ServingState::Now());
+  if (stage) {
+    this->state.log.Emit(
+      Event("move.decided")
+        .With("service", aMove.order.service)
+        .With("target", aMove.order.target)
+        .With("completed", *stage == MoveStage::eCompleted ? 1 : 0)
+        .With("seen", finding.requests)
+        .With("why", finding.reason));
+  }
+  return stage;
+}
+
+Task<void>
+DutyKeeper::WriteMoveStatus(VersionMove aMove)
+{
+  const MoveOrder& order = aMove.order;
+  const bool completed =
+    this->records.Moves().at(order.service.value).completed();
+  const MoveStage stage =
+    completed ? MoveStage::eCompleted : MoveStage::eTakenBack;
+  std::string record = this->state.wire.store.keyed(
+    this->state.wire.records.moveStatusKey(order),
+    this->state.wire.records.moveStatus(order, stage));
+  const auto written =
+    co_await AppendToStore(this->state, StoreTopic::eStatus, std::move(record));
+  if (written) {
+    this->statusWritten.insert(order.position);
+    EndMove(this->state, order, stage);
+  }
+}
+
 Task<void>
 DutyKeeper::ReportUsage()
 {
--- a/src/serve/DutyKeeper.h
+++ b/src/serve/DutyKeeper.h
@@ -8,6 +8,7 @@
 #include "coord/DutyLog.h"
 #include "coord/HighestLately.h"
 #include "coord/ScalePlanner.h"
+#include "coord/VersionMoves.h"
 #include "edge/Task.h"
 
 #include <set>
@@ -39,6 +40,10 @@
   Task<void> ReportUsage();
   Task<void> SendReport(std::uint64_t aWindow);
   Task<void> OrderEngines();
+  Task<void> DecideMoves();
+  /** How a move ends, if it ends now. */
+  std::optional<MoveStage> DecideMove(const VersionMove& aMove);
+  Task<void> WriteMoveStatus(VersionMove aMove);
   Task<void> SendOrder(GroupOrder aOrder, double aNeeded);
   /** Engines that the demand of the last while needs. */
   double Needed(const ServiceSpec& aService, TimePoint aNow);
@@ -62,6 +67,7 @@
   TimePoint holderHeardAt; // another daemon's word said that it holds it
   TimePoint planAt;        // orders are reviewed next
   std::map<ServiceId, HighestLately> highest; // engines needed
+  std::set<Position> statusWritten;           // of orders, by their positions
   std::set<std::uint64_t> sent; // windows whose reports were accepted
 };
 
--- /dev/null
+++ b/src/serve/MoveWatch.h
@@ -0,0 +1,28 @@
+/** \file
+ * Judges running moves on the evidence of all daemons, takes bad versions back
+ * at once, and learns how earlier moves ended.
+ */
+#pragma once
+
+#include "coord/VersionMoves.h"
+#include "edge/Task.h"
+
+namespace toucanshed {
+
+struct ServingState;
+
+/** What the evidence of all daemons says of a move's new version. */
+VersionFinding
+JudgeMove(const ServingState& aState, const VersionMove& aMove);
+
+/** A move has ended: this daemon acts on it, and tells the others. */
+void
+EndMove(ServingState& aState, const MoveOrder& aOrder, MoveStage aStage);
+
+/** Takes a bad version back here the moment the evidence shows it, without
+ * waiting for the holder's record; follows what others say of moves. Runs for
+ * as long as the daemon does. */
+Task<void>
+WatchMoves(ServingState& aState);
+
+} // namespace toucanshed
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -157,6 +157,9 @@
     entry.expires = now + Millis(fact.remaining_ms());
     this->state.facts.Add(std::move(entry), now);
   }
+  for (const peer::Evidence& evidence : aWord.evidence()) {
+    this->state.evidence.Merge(evidence);
+  }
 }
 
 serving::DaemonWord
@@ -188,6 +191,11 @@
     entry->set_service(service.value);
     entry->set_prompt_tokens_per_s(meter.At(now));
   }
+  for (const VersionMove& move : this->state.moves.Active()) {
+    for (peer::Evidence& own : this->state.evidence.Own(move.order.position)) {
+      *word.add_evidence() = std::move(own);
+    }
+  }
   const std::size_t daemons = this->state.Daemons();
   for (const FactEntry& fact : this->state.facts.TakeForGossip(daemons)) {
     auto* entry = word.add_facts();
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -101,10 +101,16 @@
     this->request.catalog->FindService(this->request.service);
   const EngineTraits* traits =
     spec != nullptr && spec->engine ? &*spec->engine : nullptr;
-  return this->PlacerOf().Choose(this->state.backends.Of(this->request.service),
-                                 wanted,
-                                 traits,
-                                 ServingState::Now());
+  const TimePoint now = ServingState::Now();
+  std::vector<Backend*> backends =
+    this->state.backends.Of(this->request.service);
+  std::erase_if(backends, [&](const Backend* aBackend) {
+    return !this->state.moves.MayUse(this->request.service,
+                                     aBackend->entry.version,
+                                     this->request.incoming.attempt,
+                                     now);
+  });
+  return this->PlacerOf().Choose(backends, wanted, traits, now);
 }
 
 bool
@@ -201,6 +207,7 @@
   this->lastBackend = aPlacement.backend;
   this->sentAt = ServingState::Now();
   this->beganHere = false;
+  this->failedAnswer = false;
   SendPlan plan;
   plan.backend = aPlacement.backend;
   plan.timeLeft = this->Left();
@@ -246,6 +253,7 @@
     this->state.pool.First().Spawn(NoteIfCrashed(
       this->state, aPlacement.backend, this->request.fingerprint));
   }
+  this->Observe(aPlacement.backend, outcome);
   const bool failed = outcome == SendOutcome::eMayHaveRun ||
                       (!exchange && outcome == SendOutcome::eNotRun);
   if (failed) {
@@ -255,6 +263,34 @@
   co_return outcome;
 }
 
+void
+RequestRun::Observe(const InstanceId& aBackend, SendOutcome aOutcome)
+{
+  const VersionMove* move = this->state.moves.Find(this->request.service);
+  const Backend* backend = this->state.backends.Find(aBackend);
+  const bool counts = move != nullptr && move->stage == MoveStage::eActive &&
+                      backend != nullptr && aOutcome != SendOutcome::eNotRun &&
+                      aOutcome != SendOutcome::eCallerGone;
+  if (!counts) {
+    return;
+  }
+  Observation seen;
+  seen.error = aOutcome != SendOutcome::eAnswered || this->failedAnswer;
+  if (this->beganHere) {
+    seen.firstTokenMs =
+      static_cast<double>((this->beganAt - this->sentAt).count());
+  }
+  if (this->splitter.Given() > 1) {
+    const Millis whole = ServingState::Now() - this->beganAt;
+    seen.meanGapMs = static_cast<double>(whole.count()) /
+                     static_cast<double>(this->splitter.Given() - 1);
+  }
+  this->state.evidence.Observe(move->order.position,
+                               backend->entry.version,
+                               Stratum{ 0, this->request.route->name },
+                               seen);
+}
+
 Task<SendOutcome>
 RequestRun::Relay(HttpExchange& aExchange, const Placement& aPlacement)
 {
@@ -289,6 +325,7 @@
   this->beganHere = true;
   this->use->Began();
   const TimePoint now = ServingState::Now();
+  this->beganAt = now;
   const auto took = static_cast<double>((now - this->sentAt).count());
   this->PlacerOf().Began(
     static_cast<double>(aPlacement.uncachedTokens + aPlacement.aheadTokens),
@@ -394,6 +431,7 @@
   }
   this->state.backends.Progressed(aPlacement.backend, ServingState::Now());
   const bool failure = status >= kServerError;
+  this->failedAnswer = failure;
   if (failure) {
     this->state.backends.Failed(aPlacement.backend, ServingState::Now());
   } else {
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -57,6 +57,8 @@
                                const Placement& aPlacement);
   Task<bool> PassEvents(HttpExchange& aExchange, const Placement& aPlacement);
   void NoteBegun(const Placement& aPlacement);
+  /** Counts the send as evidence about its back end's version. */
+  void Observe(const InstanceId& aBackend, SendOutcome aOutcome);
   SendOutcome Classify(const CallError& aError);
   Task<void> EndWithoutAnswer(SendOutcome aLast);
   Task<void> Refuse(std::string aReason);
@@ -80,13 +82,15 @@
   unsigned sends = 0;
   unsigned runs = 0; // sends after which it may have run
   bool mayHaveRun = false;
-  bool counted = false;   // towards the team's usage
-  bool beganHere = false; // the current back end has begun its answer
-  TimePoint sentAt;       // of the current send
-  TimePoint firstEventAt; // 0 before the first event
-  TimePoint lastEventAt;  // 0 before the first event
-  Millis longestGap{ 0 }; // between two pieces that the caller got
-  std::string lastWhy;    // why the last send failed
+  bool counted = false;      // towards the team's usage
+  bool beganHere = false;    // the current back end has begun its answer
+  bool failedAnswer = false; // the current one says that it failed
+  TimePoint beganAt;         // the current back end's answer
+  TimePoint sentAt;          // of the current send
+  TimePoint firstEventAt;    // 0 before the first event
+  TimePoint lastEventAt;     // 0 before the first event
+  Millis longestGap{ 0 };    // between two pieces that the caller got
+  std::string lastWhy;       // why the last send failed
 };
 
 } // namespace toucanshed
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -1,6 +1,7 @@
 #include "ServingDaemon.h"
 
 #include "CallerFace.h"
+#include "MoveWatch.h"
 #include "StoreFeed.h"
 #include "base/LogWriter.h"
 #include "edge/Worker.h"
@@ -83,6 +84,7 @@
   Worker& worker = this->state.pool.First();
   worker.Spawn(FollowOperator(this->state));
   worker.Spawn(FollowBackends(this->state));
+  worker.Spawn(WatchMoves(this->state));
   const bool hasDuties =
     settings.cloud && (settings.reportsUsage || settings.ordersEngines);
   if (hasDuties) {
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -18,6 +18,8 @@
                            settings.bounds.quotaOvershoot,
                            settings.bounds.quotaSlack })
   , usage(settings.bounds.usageWindow)
+  , moves(ExposureLimits{ settings.bounds.exposureShare })
+  , evidence(settings.id.value + "/" + std::to_string(aLife))
   , peers(settings.id)
 {
 }
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -8,6 +8,7 @@
 #include "base/EventLog.h"
 #include "coord/BackendTable.h"
 #include "coord/Catalog.h"
+#include "coord/Evidence.h"
 #include "coord/FactSet.h"
 #include "coord/PeerTable.h"
 #include "coord/Placement.h"
@@ -15,6 +16,7 @@
 #include "coord/RetryWindow.h"
 #include "coord/TeamQuotas.h"
 #include "coord/UsageWindows.h"
+#include "coord/VersionMoves.h"
 #include "edge/Metrics.h"
 #include "edge/WorkerPool.h"
 
@@ -66,6 +68,8 @@
   UsageWindows usage;
   std::map<ServiceId, RateMeter> promptRates; // tokens sent to be read
   FactSet facts;
+  VersionMoves moves;
+  EvidenceTable evidence;
   PeerTable peers;
   Position dutyFence;                 // of the duty this daemon holds; 0: none
   std::optional<TimePoint> storeLost; // since when it is not reached
--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -142,7 +142,24 @@
   }
   if (aState.wire.records.isCatalogKey(aRecord.key)) {
     TakeCatalog(aState, aRecord);
+    return;
+  }
+  if (!aState.wire.records.isMoveKey(aRecord.key)) {
+    return;
+  }
+  auto order = aState.wire.records.moveOrder(*aRecord.value);
+  if (!order) {
+    aState.log.Emit(
+      Event("move.unreadable").With("reason", order.error().message));
+    return;
   }
+  order->position = aRecord.position;
+  aState.moves.Ordered(*order, ServingState::Now());
+  aState.log.Emit(Event("move.ordered")
+                    .With("service", order->service)
+                    .With("target", order->target)
+                    .With("ms", order->duration.count())
+                    .With("position", order->position.value));
 }
 
 void
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -113,6 +113,14 @@
   std::function<Result<Position>(const HttpReply&)> appended;
 };
 
+/** How an order for a move was decided, as a status record tells. */
+struct MoveStatusRecord
+{
+  ServiceId service;
+  Position order;
+  MoveStage stage = MoveStage::eActive;
+};
+
 /** Records of the store that others write. */
 struct RecordFormat
 {
@@ -125,6 +133,8 @@
   std::function<Result<MoveOrder>(const std::string&)> moveOrder;
   std::function<std::string(const MoveOrder&)> moveStatusKey;
   std::function<std::string(const MoveOrder&, MoveStage)> moveStatus;
+  /** Reads a status that this system has written. */
+  std::function<Result<MoveStatusRecord>(const std::string&)> readMoveStatus;
 };
 
 /** An order for engines in one failure domain. */
