Words spaced by the number of daemons; one generator for random waits

Cause: at 90 daemons words every 150 ms are 600 a second for each of them. Change: 12 ms for each daemon, at least 150 ms; silence judged alike.

--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -75,7 +75,7 @@
 {
   std::vector<const serving::DaemonWord*> words;
   for (const auto& [id, peer] : this->peers) {
-    if (peer.spoke && aNow - peer.heard <= kSilent) {
+    if (peer.spoke && aNow - peer.heard <= this->Silent()) {
       words.push_back(&peer.word);
     }
   }
@@ -93,7 +93,7 @@
 {
   std::map<InstanceId, BackendLoad> loads;
   for (const auto& [daemon, peer] : this->peers) {
-    if (!peer.spoke || aNow - peer.heard > kSilent) {
+    if (!peer.spoke || aNow - peer.heard > this->Silent()) {
       continue;
     }
     for (const serving::BackendWord& backend : peer.word.backends()) {
@@ -195,7 +195,7 @@
 {
   std::vector<std::int64_t> offsets{ aOwnWall - aNow.ms };
   for (const auto& [id, peer] : this->peers) {
-    if (peer.spoke && aNow - peer.heard <= kSilent) {
+    if (peer.spoke && aNow - peer.heard <= this->Silent()) {
       offsets.push_back(peer.word.wall_ms() - peer.heard.ms);
     }
   }
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -6,6 +6,7 @@
 #include "BackendTable.h"
 #include "serving.pb.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,9 +23,12 @@
 class PeerTable
 {
 public:
-  /** A daemon silent for this long is not counted with its load and demand;
-   * five words are lost together far less often than a daemon dies. */
+  /** A daemon silent for this long is not counted with its load: ten words
+   * are lost together far less often than a daemon dies. */
   static constexpr Millis kSilent{ 1500 };
+  /** Among many daemons words are further apart; then it is three of them, by
+   * so much for each daemon. */
+  static constexpr Millis kSilentForEach{ 36 };
   /** Its counted usage is kept for this long: until the windows in it have
    * been reported. */
   static constexpr Millis kForgotten{ 30000 };
@@ -72,6 +76,12 @@
                                         TimePoint aNow) const;
 
 private:
+  [[nodiscard]] Millis Silent() const
+  {
+    const auto known = static_cast<std::int64_t>(this->peers.size());
+    return std::max(kSilent, kSilentForEach * known);
+  }
+
   /** A team's use of its limit at another daemon. */
   struct QuotaUse
   {
--- a/src/daemon/DaemonState.h
+++ b/src/daemon/DaemonState.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include "Gate.h"
-#include "edge/Metrics.h"
 #include "Settings.h"
 #include "base/EventLog.h"
 #include "base/Guarded.h"
@@ -19,6 +18,7 @@
 #include "coord/SuspectTable.h"
 #include "coord/WorkTable.h"
 #include "edge/LogAccess.h"
+#include "edge/Metrics.h"
 #include "edge/Notifier.h"
 #include "edge/WorkerPool.h"
 
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -47,10 +47,10 @@
     std::cerr << Describe(settings.error());
     return kExitSettings;
   }
-  static LogWriter writer(STDOUT_FILENO, kLogGather);
-  StartLogging("info", writer);
+  static LogWriter sWriter(STDOUT_FILENO, kLogGather);
+  StartLogging("info", sWriter);
   ServingDaemon daemon(
-    std::move(*settings), platform::MakeWireFormats(), read, writer);
+    std::move(*settings), platform::MakeWireFormats(), read, sWriter);
   const auto started = daemon.Start();
   if (!started) {
     std::cerr << "toucanshedd: " << started.error().message << "\n";
@@ -76,8 +76,8 @@
     std::cerr << Describe(settings.error());
     return kExitSettings;
   }
-  static LogWriter writer(STDOUT_FILENO);
-  StartLogging(settings->logLevel, writer);
+  static LogWriter sWriter(STDOUT_FILENO);
+  StartLogging(settings->logLevel, sWriter);
   const auto incarnation = static_cast<std::uint64_t>(
     std::chrono::duration_cast<Millis>(
       std::chrono::system_clock::now().time_since_epoch())
--- a/src/serve/CallerFace.cpp
+++ b/src/serve/CallerFace.cpp
@@ -79,8 +79,10 @@
   request.arrived = now;
   const Millis patience = request.incoming.patience.value_or(Millis(0));
   if (request.catalog == nullptr) {
-    return tl::unexpected(Refusal{
-      kUnavailable, "no configuration yet", ComeBackAfter(patience), {} });
+    return tl::unexpected(Refusal{ kUnavailable,
+                                   "no configuration yet",
+                                   ComeBackAfter(aState, patience),
+                                   {} });
   }
   request.route = request.catalog->FindRoute(request.incoming.host,
                                              PathOf(request.incoming.target));
--- a/src/serve/OwnAnswers.cpp
+++ b/src/serve/OwnAnswers.cpp
@@ -1,7 +1,6 @@
 #include "OwnAnswers.h"
 
 #include "ServingState.h"
-#include "base/Random.h"
 
 #include <algorithm>
 #include <array>
@@ -43,12 +42,11 @@
 }
 
 Millis
-ComeBackAfter(Millis aLeft)
+ComeBackAfter(ServingState& aState, Millis aLeft)
 {
   constexpr int kUsedPart = 4; // a little less than the third that is waited
-  static Random random(static_cast<std::uint64_t>(ServingState::WallMs()));
   const auto spread = Millis(static_cast<std::int64_t>(
-    random.Below(static_cast<std::uint64_t>(kSpread.count()))));
+    aState.random.Below(static_cast<std::uint64_t>(kSpread.count()))));
   const Millis most = std::max(Millis(1), aLeft / kUsedPart);
   return std::min(kSoonest + spread, most);
 }
--- a/src/serve/OwnAnswers.h
+++ b/src/serve/OwnAnswers.h
@@ -27,6 +27,6 @@
  * that were refused together do not return together and are refused again;
  * within a third of the time it has left, since callers wait no longer. */
 Millis
-ComeBackAfter(Millis aLeft);
+ComeBackAfter(ServingState& aState, Millis aLeft);
 
 } // namespace toucanshed
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -206,6 +206,13 @@
   return word;
 }
 
+Millis
+PeerLink::Interval() const
+{
+  const auto daemons = static_cast<std::int64_t>(this->state.Daemons());
+  return std::max(kEvery, kEveryForEach * daemons);
+}
+
 void
 PeerLink::SayToAll(const serving::Datagram& aDatagram)
 {
@@ -230,7 +237,7 @@
 PeerLink::Speak()
 {
   while (true) {
-    co_await Sleep(kEvery);
+    co_await Sleep(this->Interval());
     const TimePoint now = ServingState::Now();
     this->state.peers.Expire(now);
     this->state.facts.Expire(now);
--- a/src/serve/PeerLink.h
+++ b/src/serve/PeerLink.h
@@ -23,9 +23,13 @@
 class PeerLink
 {
 public:
-  /** Time between two words. Placement divides the back ends' places by what
-   * the others have said, so this is how stale that is. */
+  /** Least time between two words. Placement divides the back ends' places by
+   * what the others have said, so this is how stale that is. */
   static constexpr Millis kEvery{ 150 };
+  /** With many daemons words are further apart, by so much for each: a daemon
+   * then takes in 80 words a second whatever their number. At 90 daemons and
+   * 150 ms it would be 600, more than half of an eighth of a core. */
+  static constexpr Millis kEveryForEach{ 12 };
 
   explicit PeerLink(ServingState& aState);
 
@@ -49,6 +53,7 @@
   Task<void> Speak();
   /** Writes this daemon's address to the store and reads the others'. */
   Task<void> Meet();
+  [[nodiscard]] Millis Interval() const;
   void SayToAll(const serving::Datagram& aDatagram);
   serving::DaemonWord MakeWord();
   void Take(const serving::Datagram& aDatagram);
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -480,7 +480,7 @@
                               this->request.incoming.attempt,
                               kUnavailable,
                               aReason,
-                              ComeBackAfter(this->Left()));
+                              ComeBackAfter(this->state, this->Left()));
   co_await this->responder.Send(std::move(reply));
   this->LogEnd(kUnavailable, aReason);
 }
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -1,5 +1,7 @@
 #include "ServingState.h"
 
+#include "base/Hash.h"
+
 #include <chrono>
 
 namespace toucanshed {
@@ -21,6 +23,7 @@
   , moves(ExposureLimits{ settings.bounds.exposureShare })
   , evidence(settings.id.value + "/" + std::to_string(aLife))
   , peers(settings.id)
+  , random(Hash64(settings.id.value, aLife))
 {
 }
 
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -6,6 +6,7 @@
 #include "ServingSettings.h"
 #include "WireFormats.h"
 #include "base/EventLog.h"
+#include "base/Random.h"
 #include "coord/BackendTable.h"
 #include "coord/Catalog.h"
 #include "coord/Evidence.h"
@@ -77,6 +78,7 @@
   /** Tells the other daemons of a prompt that was just sent. */
   std::function<void(const InstanceId&, std::int64_t)> tellSent =
     [](const InstanceId&, std::int64_t) {};
+  Random random; // for what must not happen at all daemons alike
   bool stopping = false;
   std::size_t inProgress = 0; // callers' requests
 };
