--- a/standin/platform/Engine.cpp
+++ b/standin/platform/Engine.cpp
@@ -35,7 +35,7 @@
   const std::string resume = HeaderOf(aRequest, "Last-Event-Id");
   std::uint64_t next = resume.empty() ? 0 : std::stoull(resume) + 1;
   const bool cut = aStep.kind == EngineStep::Kind::eCutAfter;
-  const std::uint64_t end = cut ? next + aStep.events : kEvents;
+  const std::uint64_t end = cut ? next + aStep.events : this->events;
   for (; next < end; ++next) {
     std::string event = "id: " + std::to_string(next) + "\ndata: token-" +
                         std::to_string(next) + "\n\n";
--- a/standin/platform/Engine.h
+++ b/standin/platform/Engine.h
@@ -48,9 +48,6 @@
 class PlatformEngine
 {
 public:
-  /** Events of each stream; ids run from 0. */
-  static constexpr std::uint64_t kEvents = 5;
-
   explicit PlatformEngine(std::string aId)
     : id(std::move(aId))
   {
@@ -63,6 +60,7 @@
   std::vector<EngineArrival> arrivals;
   std::size_t hungUp = 0; // callers that left while it was at work
   bool streams = false;
+  std::uint64_t events = 5; // of each stream; ids run from 0
 
 private:
   Task<void> Stream(const HttpRequest& aRequest,
--- a/test/failure/ServingRequestTest.cpp
+++ b/test/failure/ServingRequestTest.cpp
@@ -106,8 +106,7 @@
   CHECK(second.arrivals.size() == 1);
 }
 
-TEST_CASE(
-  "a lookup goes to another back end after an answer that is not its own")
+TEST_CASE("a lookup goes elsewhere after an answer that is not its own")
 {
   PlatformWorld world(22040);
   auto& first = world.AddEngine("e1", "plain");
@@ -133,8 +132,7 @@
   CHECK(first.arrivals.size() == 1);
 }
 
-TEST_CASE(
-  "a resumable stream goes on at another engine without a gap or repeat")
+TEST_CASE("a resumable stream goes on elsewhere without gap or repeat")
 {
   // The first engine breaks off in the middle of the third event. The caller
   // must not see the half event, and gets each event once, under the head and
