--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -5,7 +5,7 @@
 namespace toucanshed {
 
 void
-BackendTable::Put(const BackendEntry& aEntry, TimePoint aNow)
+BackendTable::Put(const BackendEntry& aEntry)
 {
   Backend& backend = this->backends[aEntry.id];
   const bool otherLife =
@@ -19,7 +19,6 @@
   backend.entry = aEntry;
   backend.leaving = backend.leaving || aEntry.leaving;
   backend.goneAt.reset();
-  backend.listedAt = aNow;
 }
 
 void
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -26,7 +26,6 @@
   unsigned slots = 1;
   bool leaving = false;
   bool reclaimable = false;
-  std::optional<Millis> leavesIn; // known when a reclaim was announced
   std::int64_t born = 0; // start of this life; a restart may keep the id
 };
 
@@ -35,7 +34,6 @@
 {
   std::int64_t running = 0;      // sent and not ended
   std::int64_t promptTokens = 0; // of those whose answer has not begun
-  std::int64_t outputTokens = 0; // still expected from those that have
 
   auto operator<=>(const BackendLoad&) const = default;
 };
@@ -48,7 +46,6 @@
   BackendLoad others;   // sent by the other daemons, by their last word
   bool leaving = false; // by the list, its own answer or another daemon
   std::optional<TimePoint> goneAt; // its entry went while the store was away
-  TimePoint listedAt;
   double failureShare = 0; // of the newest answers, newer ones count more
   TimePoint pausedUntil;   // not chosen before, after failures in a row
   unsigned failuresInRow = 0;
@@ -94,7 +91,7 @@
   static constexpr Millis kLongestPause{ 3200 };
 
   /** Takes in an entry. A new life under a known id starts anew. */
-  void Put(const BackendEntry& aEntry, TimePoint aNow);
+  void Put(const BackendEntry& aEntry);
   /** Its entry is gone.
    * \param aStoreReturned when the store was last reached again after it had
    *   been away; such entries may have lapsed only for that. */
--- a/src/coord/Catalog.h
+++ b/src/coord/Catalog.h
@@ -63,15 +63,10 @@
   bool open = false;         // needs no key
 };
 
-/** What a model engine can do, alike for all engines of a service. */
+/** A model engine, alike for all engines of a service. */
 struct EngineTraits
 {
   unsigned slots = 1;
-  std::uint64_t memoryTokens = 0;
-  std::uint64_t bytesPerToken = 0;
-  unsigned tokensPerEvent = 1;
-  bool moves = false;   // a run can move to another engine with its memory
-  bool backups = false; // a run's memory can be copied while it grows
 };
 
 /** How many engines may be ordered, for each failure domain. */
@@ -87,8 +82,6 @@
 struct ServiceSpec
 {
   ServiceId id;
-  std::string healthPath;
-  unsigned mostConnections = 0; // an engine resets those beyond; 0: not said
   std::optional<EngineTraits> engine;
   std::optional<ScaleBounds> scale;
 };
--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -100,7 +100,6 @@
       BackendLoad& load = loads[InstanceId{ backend.id() }];
       load.running += backend.running();
       load.promptTokens += backend.prompt_tokens();
-      load.outputTokens += backend.output_tokens();
     }
     for (const auto& [id, since] : peer.sinceWord) {
       loads[id].running += since.running;
--- a/src/coord/Placement.h
+++ b/src/coord/Placement.h
@@ -19,7 +19,6 @@
 struct PlacementRequest
 {
   std::vector<PromptPart> prompt;
-  std::uint64_t outputTokens = 0;
   /** Back ends that have read its shared part. */
   std::vector<InstanceId> holders;
   /** Back ends that have had this request. */
--- a/src/serve/BackendUse.h
+++ b/src/serve/BackendUse.h
@@ -16,11 +16,10 @@
   BackendUse(BackendTable& aTable,
              InstanceId aBackend,
              std::int64_t aPromptTokens,
-             std::int64_t aOutputTokens,
              TimePoint aNow)
     : table(aTable)
     , backend(std::move(aBackend))
-    , load{ 1, aPromptTokens, aOutputTokens }
+    , load{ 1, aPromptTokens }
   {
     const Backend* found = this->table.Find(this->backend);
     const bool idle = found != nullptr && found->own.running == 0;
@@ -47,7 +46,6 @@
     if (Backend* found = this->table.Find(this->backend)) {
       found->own.running += aSign * this->load.running;
       found->own.promptTokens += aSign * this->load.promptTokens;
-      found->own.outputTokens += aSign * this->load.outputTokens;
     }
   }
 
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -34,7 +34,6 @@
     entry->set_id(id.value);
     entry->set_running(backend.own.running);
     entry->set_prompt_tokens(backend.own.promptTokens);
-    entry->set_output_tokens(backend.own.outputTokens);
     entry->set_leaving(backend.leaving);
   }
 }
--- a/src/serve/ServingRequest.h
+++ b/src/serve/ServingRequest.h
@@ -28,7 +28,6 @@
   std::uint64_t promptTokens = 0;
   std::uint64_t mostOutputTokens = 0;
   bool statesTokens = false;
-  std::uint64_t expectedOutputTokens = 0;   // the caller's estimate; 0: none
   std::optional<std::uint64_t> resumeAfter; // last event the caller has
   /** Head and body as received, to be passed on. */
   const HttpRequest* message = nullptr;
--- a/src/serve/ServingSettings.h
+++ b/src/serve/ServingSettings.h
@@ -16,7 +16,6 @@
  * used where a deployment does not state a limit. */
 struct ServingBounds
 {
-  Millis contact{ 3000 };       // undisturbed this long, a machine is in touch
   Millis drain{ 2000 };         // from a leaving entry to the last send
   Millis configuration{ 2000 }; // from a change to its being in force
   Millis grace{ 8000 };         // from the stop signal to the kill
@@ -30,7 +29,6 @@
   Millis usageWindow{ 5000 };
   Millis usageLate{ 10000 }; // from a window's end to its report
   double exposureShare = 0.1;
-  Millis rollback{ 5000 };
 };
 
 /** Filled by the adapter's parse function only. */
@@ -47,7 +45,6 @@
   std::optional<Endpoint> cloud;
   bool reportsUsage = false;
   bool ordersEngines = false;
-  unsigned mostSockets = 1000;
   ServingBounds bounds;
 };
 
--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -200,7 +200,7 @@
   } else if (entry->leaving && !known->entry.leaving) {
     LogBackend(aState, *entry, "leaving");
   }
-  aState.backends.Put(*entry, now);
+  aState.backends.Put(*entry);
 }
 
 void
--- a/test/PlatformWorld.cpp
+++ b/test/PlatformWorld.cpp
@@ -126,8 +126,7 @@
     });
   this->engineServers[aId] = this->servers.back().get();
   this->places[aId] = { aService, endpoint };
-  this->state->backends.Put(*platform::ParseBackendEntry(aId, EntryOf(aId)),
-                            ServingState::Now());
+  this->state->backends.Put(*platform::ParseBackendEntry(aId, EntryOf(aId)));
   return served;
 }
 
--- a/test/correctness/BackendTableTest.cpp
+++ b/test/correctness/BackendTableTest.cpp
@@ -37,8 +37,8 @@
   // until its time is over. Without this every new request that finds it "less
   // loaded" hangs as well.
   BackendTable table;
-  table.Put(Entry("e1"), kNow);
-  table.Put(Entry("e2"), kNow);
+  table.Put(Entry("e1"));
+  table.Put(Entry("e2"));
   table.Find(InstanceId{ "e2" })->own.running = 6; // e1 is the less loaded
   table.Find(InstanceId{ "e2" })->progressAt = kNow + Backend::kStalled;
   table.Find(InstanceId{ "e1" })->own.running = 1;
@@ -53,8 +53,8 @@
 TEST_CASE("a slow engine gets less and is taken back as it recovers")
 {
   BackendTable table;
-  table.Put(Entry("e1"), kNow);
-  table.Put(Entry("e2"), kNow);
+  table.Put(Entry("e1"));
+  table.Put(Entry("e2"));
   table.Find(InstanceId{ "e2" })->own.running = 3;
   table.Find(InstanceId{ "e2" })->progressAt = kNow;
   for (int i = 0; i < 20; ++i) {
@@ -70,7 +70,7 @@
 TEST_CASE("failures in a row pause an engine, longer each time, never for good")
 {
   BackendTable table;
-  table.Put(Entry("e1"), kNow);
+  table.Put(Entry("e1"));
   table.Failed(InstanceId{ "e1" }, kNow);
   CHECK(ChooseOne(table, kNow).has_value());
   table.Failed(InstanceId{ "e1" }, kNow);
@@ -88,12 +88,12 @@
   // slow any more; requests sent to the life before are still counted until
   // they end here.
   BackendTable table;
-  table.Put(Entry("e1", 1), kNow);
+  table.Put(Entry("e1", 1));
   table.MarkLeaving(InstanceId{ "e1" });
   table.Find(InstanceId{ "e1" })->own.running = 2;
-  table.Put(Entry("e1", 1), kNow);
+  table.Put(Entry("e1", 1));
   CHECK(table.Find(InstanceId{ "e1" })->leaving);
-  table.Put(Entry("e1", 2), kNow);
+  table.Put(Entry("e1", 2));
   CHECK_FALSE(table.Find(InstanceId{ "e1" })->leaving);
   CHECK(table.Find(InstanceId{ "e1" })->own.running == 2);
 }
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -20,7 +20,7 @@
       entry.service = kService;
       entry.zone = ZoneId{ "a" };
       entry.slots = 64;
-      this->table.Put(entry, kNow);
+      this->table.Put(entry);
     }
   }
 
--- a/test/correctness/ScalePlannerTest.cpp
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -37,7 +37,7 @@
       entry.service = kService;
       entry.zone = ZoneId{ aZone };
       entry.reclaimable = aReclaimable;
-      this->table.Put(entry, this->now);
+      this->table.Put(entry);
     }
   }
 
