A test that did not show what its name says is two tests now

Cause: read as a newcomer: 'turned away runs at the other one' only showed the refusal. Both cases stand now.

--- a/test/failure/ServingRequestTest.cpp
+++ b/test/failure/ServingRequestTest.cpp
@@ -92,13 +92,27 @@
 
 TEST_CASE("a booking that a back end turned away runs at the other one")
 {
+  // The back end says that it did not run the booking, so the other one may.
   PlatformWorld world(22030);
   auto& first = world.AddEngine("e1", "plain");
   auto& second = world.AddEngine("e2", "plain");
+  first.steps = { { Kind::eTurnAway } }; // equally loaded, it is asked first
+  const CallerView seen = AskOnce(world, To("/book/1"));
+  CHECK(seen.status == 200);
+  CHECK(seen.seal == "seal-of-e2");
+  CHECK(first.arrivals.size() == 1);
+  CHECK(second.arrivals.size() == 1);
+}
+
+TEST_CASE("a booking that all back ends turned away is refused as not run")
+{
+  // Each back end is asked once; then the caller is told that the booking has
+  // not run, which is true, and when to return.
+  PlatformWorld world(22130);
+  auto& first = world.AddEngine("e1", "plain");
+  auto& second = world.AddEngine("e2", "plain");
   first.steps = { { Kind::eTurnAway } };
   second.steps = { { Kind::eTurnAway } };
-  // Whichever is asked first turns it away; the other one then does as well,
-  // and only then the caller is told that it has not run and when to return.
   const CallerView refused = AskOnce(world, To("/book/1"));
   CHECK(refused.status == 503);
   CHECK_FALSE(refused.comeBack.empty());
