--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -13,6 +13,12 @@
 /** What the engine that a part names may be slower by: two daemons that meet a
  * part at the same time agree on it unless it is busy. */
 constexpr double kHomeMs = 15;
+/** Part of the shared tokens that the engine which a part names is taken to
+ * have to read, when this daemon has not sent it there lately: others have, and
+ * among many daemons that is not known here. At 89 daemons, taken to lack them
+ * all, it was passed over for any free engine, and half of all shared tokens
+ * were read again within ten seconds; a quarter since. */
+constexpr double kHomeLacks = 0.3;
 /** A failing engine's expected time is stretched as if each failure in its
  * newest answers cost this; about the time until a caller comes back. */
 constexpr double kFailureCostMs = 1500;
@@ -114,7 +120,11 @@
     const InstanceId& id = backend->entry.id;
     const bool holds =
       std::find(holders.begin(), holders.end(), id) != holders.end();
-    const std::uint64_t tokens = holds ? own : all;
+    std::uint64_t tokens = holds ? own : all;
+    if (!holds && id == home) {
+      tokens = own + static_cast<std::uint64_t>(kHomeLacks *
+                                                static_cast<double>(all - own));
+    }
     const double expected = this->ExpectedMs(*backend, tokens);
     double score = expected;
     score += backend->entry.zone == this->zone ? 0 : kCrossingMs;
--- a/src/coord/TeamQuotas.h
+++ b/src/coord/TeamQuotas.h
@@ -44,7 +44,7 @@
   static constexpr double kUsedTolerance = 0.25;
   /** Part of its burst that a new bucket holds. A daemon that starts again must
    * not give the whole burst out twice. */
-  static constexpr double kFirstLevel = 0.5;
+  static constexpr double kFirstLevel = 0.15;
 
   explicit TeamQuotas(QuotaTolerance aTolerance)
     : tolerance(aTolerance)
--- a/src/serve/DutyKeeper.cpp
+++ b/src/serve/DutyKeeper.cpp
@@ -18,6 +18,11 @@
  * lease. Others claim as soon as the holder seems gone; the records fence off
  * one that lives after all. */
 constexpr Millis kBeyondLease{ 300 };
+/** A holder that does not reach the store for this long gives the duties up: it
+ * can record nothing and so may do nothing, and others may reach the store. A
+ * holder that was turned away for seven seconds ordered no engines while a
+ * failure domain was reclaimed; half of the worth of those seconds was lost. */
+constexpr Millis kStoreAway{ 1000 };
 /** The second daemon in the order waits this much longer, and so on, so that
  * one alone claims; the store would refuse the others, but at a price. */
 constexpr Millis kClaimStep{ 600 };
@@ -73,11 +78,11 @@
   }
   while (!this->state.stopping) {
     co_await Sleep(kLook);
-    if (const auto holder = this->state.peers.Holder()) {
-      this->holderHeardAt = std::max(this->holderHeardAt, holder->heard);
-      this->holderEnd = std::max(this->holderEnd, holder->recordsEnd);
-    }
+    this->NoteHolder();
     this->WatchEngines();
+    if (this->Holds() && this->StoreIsAway()) {
+      this->StepDown("the store is not reached");
+    }
     if (this->Holds()) {
       co_await this->Act();
     } else if (this->HolderSeemsGone()) {
@@ -87,18 +92,59 @@
   this->state.dutyFence = Position{};
 }
 
+void
+DutyKeeper::NoteHolder()
+{
+  const auto holder = this->state.peers.Holder();
+  if (!holder) {
+    return;
+  }
+  this->holderSeen = true;
+  this->holderHeardAt = std::max(this->holderHeardAt, holder->heard);
+  this->holderEnd = std::max(this->holderEnd, holder->recordsEnd);
+}
+
+bool
+DutyKeeper::StoreIsAway() const
+{
+  const auto& lost = this->state.storeLost;
+  return lost && ServingState::Now() - *lost > kStoreAway;
+}
+
+std::int64_t
+DutyKeeper::ClaimantsBefore() const
+{
+  std::int64_t before = 0;
+  for (const serving::DaemonWord* word :
+       this->state.peers.Live(ServingState::Now())) {
+    const bool claims = !word->store_lost() && !word->stopping() &&
+                        word->id() < this->state.settings.id.value;
+    before += claims ? 1 : 0;
+  }
+  return before;
+}
+
 bool
 DutyKeeper::HolderSeemsGone() const
 {
   const TimePoint now = ServingState::Now();
-  std::int64_t before = 0; // live daemons ahead of this one in the order
-  for (const serving::DaemonWord* word : this->state.peers.Live(now)) {
-    before += word->id() < this->state.settings.id.value ? 1 : 0;
-  }
-  const Millis silent = this->records.WasOvertaken(this->state.settings.id)
-                          ? this->state.settings.bounds.lease + kBeyondLease
-                          : this->state.peers.Silent();
-  const Millis wait = silent + kClaimStep * before;
+  const bool pauses = this->state.storeLost && now - this->triedAt < kStoreAway;
+  if (pauses) {
+    return false;
+  }
+  const Millis turn = kClaimStep * this->ClaimantsBefore();
+  if (this->records.WasOvertaken(this->state.settings.id)) {
+    const Millis lease = this->state.settings.bounds.lease + kBeyondLease;
+    return now - this->holderHeardAt > lease + turn &&
+           now - this->records.NewestAt() > lease + turn;
+  }
+  // All daemons' words say that nobody holds the duties any more, so the holder
+  // has given them up and need not be waited for.
+  const bool givenUp = this->holderSeen && !this->state.peers.Holder();
+  if (givenUp) {
+    return now - this->holderHeardAt > turn;
+  }
+  const Millis wait = this->state.peers.Silent() + turn;
   return now - this->holderHeardAt > wait &&
          now - this->records.NewestAt() > wait;
 }
@@ -148,6 +194,7 @@
 Task<void>
 DutyKeeper::TryClaim()
 {
+  this->triedAt = ServingState::Now();
   const Position known = this->records.End();
   const bool caughtUp = co_await this->CatchUp();
   if (!caughtUp) {
@@ -185,6 +232,7 @@
                          .With("fence", this->state.dutyFence.value)
                          .With("why", aWhy));
   this->state.dutyFence = Position{};
+  this->holderSeen = true;
   this->holderHeardAt = ServingState::Now();
 }
 
--- a/src/serve/DutyKeeper.h
+++ b/src/serve/DutyKeeper.h
@@ -63,14 +63,21 @@
   /** The newest claim is an earlier life's of this daemon. */
   [[nodiscard]] bool OwnedBefore() const;
   [[nodiscard]] bool HolderSeemsGone() const;
+  /** Takes in what the holder's words say. */
+  void NoteHolder();
+  [[nodiscard]] bool StoreIsAway() const;
+  /** Live daemons that would claim before this one. */
+  [[nodiscard]] std::int64_t ClaimantsBefore() const;
 
   ServingState& state;
   DutyLog records;
   ScalePlanner planner;
   bool read = false;       // the records were read from their start
+  bool holderSeen = false; // some daemon held the duties
   TimePoint holderHeardAt; // another daemon's word said that it holds it
   std::size_t ordersSent = 0; // and not answered yet
   Position holderEnd;      // where its records ended, by its words
+  TimePoint triedAt;       // the last claim
   TimePoint planAt;        // orders are reviewed next
   std::map<ServiceId, HighestLately> highest; // engines needed
   std::set<Position> statusWritten;           // of orders, by their positions
--- a/test/correctness/TeamQuotasTest.cpp
+++ b/test/correctness/TeamQuotasTest.cpp
@@ -146,6 +146,18 @@
   CHECK(passed >= kRate * 5 * 0.6);
 }
 
+TEST_CASE("daemons that all start again do not give a team's burst out again")
+{
+  // A team floods and its limit holds it. All daemons are killed and start with
+  // new buckets; the team must not get the burst a second time on top of what
+  // it has had within the same window.
+  QuotaWorld before(7);
+  const double first = before.Play(Millis(4000), Millis(5), 50, kNobody);
+  QuotaWorld after(7);
+  const double second = after.Play(Millis(4000), Millis(5), 50, kNobody);
+  CHECK(first + second <= (kRate * 8 + kBurst) * 1.1);
+}
+
 TEST_CASE("a daemon that starts again counts from its start")
 {
   QuotaWorld world(2);
