--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -93,7 +93,8 @@
     if (entry.leaving || backend.goneAt) {
       continue;
     }
-    std::uint64_t hash = Hash64(id.value, static_cast<std::uint64_t>(entry.born));
+    std::uint64_t hash =
+      Hash64(id.value, static_cast<std::uint64_t>(entry.born));
     hash = MixHash(hash, Hash64(entry.service.value, entry.slots));
     hash = MixHash(hash, Hash64(entry.address));
     hash = MixHash(hash, Hash64(entry.zone.value, entry.reclaimable ? 1 : 0));
--- a/src/coord/DutyLog.cpp
+++ b/src/coord/DutyLog.cpp
@@ -22,7 +22,8 @@
     aRecord.has_usage() || aRecord.has_scale() || aRecord.has_move();
   const DaemonId holder{ aRecord.holder() };
   if (!decides) {
-    this->Claimed(DutyClaim{ holder, aRecord.life(), Position{ at.value + 1 } });
+    this->Claimed(
+      DutyClaim{ holder, aRecord.life(), Position{ at.value + 1 } });
     return;
   }
   // The claim itself may be older than the records that are kept.
--- a/src/coord/ListCopy.h
+++ b/src/coord/ListCopy.h
@@ -22,6 +22,7 @@
   std::optional<std::string> value; // nothing: the entry is gone
   Position position;
   TimePoint seen;
+  bool leaving = false; // nothing else of the entry matters any more
 };
 
 /**
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -129,9 +129,7 @@
   bool StillAppearing(const ServiceId& aService,
                       unsigned aPresent,
                       TimePoint aNow);
-  double NeededNow(const ServiceSpec& aService,
-                   double aNeeded,
-                   TimePoint aNow);
+  double NeededNow(const ServiceSpec& aService, double aNeeded, TimePoint aNow);
 
   std::map<EngineGroup, GroupState> groups;
   std::map<ServiceId, ServiceState> services;
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -53,8 +53,8 @@
     aState.backends.MarkUnlisted(id);
     return used;
   }
-  const bool same = known != nullptr && known->entry == *entry &&
-                    !known->goneAt.has_value();
+  const bool same =
+    known != nullptr && known->entry == *entry && !known->goneAt.has_value();
   if (known == nullptr) {
     LogBackend(aState, *entry, entry->leaving ? "leaving" : "new");
   } else if (entry->leaving && !known->entry.leaving) {
@@ -64,6 +64,18 @@
   return !same;
 }
 
+void
+TakeLeaving(ServingState& aState, const InstanceId& aId, Position aPosition)
+{
+  const Backend* known = aState.backends.Find(aId);
+  const bool news = aState.listCopy.Advance(aId.value, aPosition) &&
+                    known != nullptr && !known->entry.leaving;
+  if (news) {
+    LogBackend(aState, known->entry, "leaving");
+    aState.backends.MarkUnlisted(aId);
+  }
+}
+
 void
 ReplaceBackends(ServingState& aState, const TopicPage& aPage)
 {
--- a/src/serve/BackendList.h
+++ b/src/serve/BackendList.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "base/Types.h"
+
 namespace toucanshed {
 
 struct KeyedRecord;
@@ -15,6 +17,10 @@
 bool
 TakeBackendRecord(ServingState& aState, const KeyedRecord& aRecord);
 
+/** The record at aPosition says that a back end takes nothing more. */
+void
+TakeLeaving(ServingState& aState, const InstanceId& aId, Position aPosition);
+
 /** The whole list: what is not in it has gone. */
 void
 ReplaceBackends(ServingState& aState, const TopicPage& aPage);
--- /dev/null
+++ b/src/serve/DutyActs.cpp
@@ -0,0 +1,308 @@
+// The half of DutyKeeper that acts while it holds the duties; DutyKeeper.cpp
+// holds how they are claimed and given up.
+#include "DutyKeeper.h"
+
+#include "MoveWatch.h"
+#include "ServingState.h"
+#include "StoreClient.h"
+#include "edge/HttpExchange.h"
+#include "edge/Worker.h"
+
+namespace toucanshed {
+
+namespace {
+
+/** After a window's end, for the others' last words about it. */
+constexpr Millis kReportAfter{ 1500 };
+/** The cloud answers in milliseconds, or when it is slow in some hundred. */
+constexpr Millis kCloudCallTime{ 2500 };
+/** Orders are reviewed this often; engines take seconds to start. */
+constexpr Millis kPlanEvery{ 500 };
+/** How often it is seen whether all orders of a plan are answered. */
+constexpr Millis kOrdersLook{ 25 };
+constexpr Millis kCloudConnectTime{ 800 };
+constexpr unsigned kOk = 200;
+constexpr unsigned kConflict = 409;
+
+} // namespace
+
+Task<unsigned>
+DutyKeeper::CallCloud(HttpRequest aRequest)
+{
+  const CallTimeouts timeouts{ kCloudConnectTime,
+                               kCloudCallTime,
+                               kCloudCallTime };
+  this->state.metrics.Count("toucanshed_cloud_calls_total");
+  auto reply = co_await Fetch(this->state.pool.First(),
+                              *this->state.settings.cloud,
+                              std::move(aRequest),
+                              timeouts,
+                              true);
+  if (!reply) {
+    this->state.log.Emit(
+      Event("cloud.unanswered").With("why", reply.error().message));
+    co_return 0;
+  }
+  const unsigned status = reply->result_int();
+  if (status != kOk) {
+    this->state.log.Emit(Event("cloud.refused")
+                           .With("status", status)
+                           .With("body", reply->body()));
+  }
+  co_return status;
+}
+
+Task<void>
+DutyKeeper::Act()
+{
+  // Calls to a slow cloud take seconds each. They are sent side by side, orders
+  // first: engines take seconds more to start, a report has ten.
+  if (this->state.settings.ordersEngines) {
+    co_await this->OrderEngines();
+  }
+  if (this->state.settings.reportsUsage && this->Holds()) {
+    co_await this->ReportUsage();
+  }
+  if (this->Holds()) {
+    co_await this->DecideMoves();
+  }
+}
+
+Task<void>
+DutyKeeper::DecideMoves()
+{
+  for (const VersionMove& move : this->state.moves.All()) {
+    const Position order = move.order.position;
+    if (this->statusWritten.contains(order)) {
+      continue;
+    }
+    const auto known = this->records.Moves().find(move.order.service.value);
+    const bool recorded = known != this->records.Moves().end() &&
+                          known->second.order() == order.value;
+    if (!recorded) {
+      const auto stage = this->DecideMove(move);
+      if (!stage) {
+        continue;
+      }
+      serving::DutyRecord record;
+      record.mutable_move()->set_service(move.order.service.value);
+      record.mutable_move()->set_order(order.value);
+      record.mutable_move()->set_target(move.order.target.value);
+      record.mutable_move()->set_completed(*stage == MoveStage::eCompleted);
+      const bool stands = co_await this->Record(std::move(record));
+      if (!stands) {
+        co_return;
+      }
+    }
+    co_await this->WriteMoveStatus(move);
+  }
+}
+
+std::optional<MoveStage>
+DutyKeeper::DecideMove(const VersionMove& aMove)
+{
+  if (aMove.stage != MoveStage::eActive) {
+    return aMove.stage; // some daemon has taken it back already
+  }
+  const VersionFinding finding = JudgeMove(this->state, aMove);
+  const auto stage =
+    this->state.moves.Decide(aMove, finding, ServingState::Now());
+  if (stage) {
+    this->state.log.Emit(
+      Event("move.decided")
+        .With("service", aMove.order.service)
+        .With("target", aMove.order.target)
+        .With("completed", *stage == MoveStage::eCompleted ? 1 : 0)
+        .With("seen", finding.requests)
+        .With("why", finding.reason));
+  }
+  return stage;
+}
+
+Task<void>
+DutyKeeper::WriteMoveStatus(VersionMove aMove)
+{
+  const MoveOrder& order = aMove.order;
+  const bool completed =
+    this->records.Moves().at(order.service.value).completed();
+  const MoveStage stage =
+    completed ? MoveStage::eCompleted : MoveStage::eTakenBack;
+  std::string record = this->state.wire.store.keyed(
+    this->state.wire.records.moveStatusKey(order),
+    this->state.wire.records.moveStatus(order, stage));
+  const auto written =
+    co_await AppendToStore(this->state, StoreTopic::eStatus, std::move(record));
+  if (written) {
+    this->statusWritten.insert(order.position);
+    EndMove(this->state, order, stage);
+  }
+}
+
+Task<void>
+DutyKeeper::ReportUsage()
+{
+  const ServingBounds& bounds = this->state.settings.bounds;
+  const std::int64_t now = this->state.TrueMs();
+  const std::uint64_t current = this->state.usage.WindowAt(now);
+  // A report counts until some time after its window.
+  const auto late =
+    static_cast<std::uint64_t>(bounds.usageLate / bounds.usageWindow);
+  for (std::uint64_t window = current - late; window < current; ++window) {
+    const std::int64_t age = now - this->state.usage.EndOf(window);
+    const bool due = Millis(age) >= kReportAfter &&
+                     Millis(age) < bounds.usageLate &&
+                     !this->sent.contains(window);
+    if (due && this->Holds()) {
+      co_await this->SendReport(window);
+    }
+  }
+}
+
+Task<void>
+DutyKeeper::SendReport(std::uint64_t aWindow)
+{
+  if (!this->records.Reports().contains(aWindow)) {
+    std::map<TeamId, std::uint64_t> counts = this->state.peers.Usage(aWindow);
+    const auto own = this->state.usage.All().find(aWindow);
+    if (own != this->state.usage.All().end()) {
+      for (const auto& [team, count] : own->second) {
+        counts[team] += count;
+      }
+    }
+    serving::DutyRecord record;
+    record.mutable_usage()->set_window(aWindow);
+    for (const auto& [team, count] : counts) {
+      auto* entry = record.mutable_usage()->add_counts();
+      entry->set_team(team.value);
+      entry->set_count(count);
+    }
+    const bool stands = co_await this->Record(std::move(record));
+    if (!stands) {
+      co_return;
+    }
+  }
+  std::map<TeamId, std::uint64_t> recorded;
+  for (const auto& entry : this->records.Reports().at(aWindow).counts()) {
+    recorded[TeamId{ entry.team() }] = entry.count();
+  }
+  const Position fence = this->state.dutyFence;
+  const unsigned status = co_await this->CallCloud(this->state.wire.cloud.usage(
+    this->state.settings.id, fence, aWindow, recorded));
+  this->state.log.Emit(Event("usage.reported")
+                         .With("window", aWindow)
+                         .With("status", status)
+                         .With("fence", fence.value));
+  if (status == kOk) {
+    this->sent.insert(aWindow);
+  } else if (status == kConflict) {
+    this->StepDown("the cloud has seen a higher fence");
+  }
+}
+
+void
+DutyKeeper::WatchEngines()
+{
+  const auto catalog = this->state.catalog;
+  if (catalog == nullptr || !this->state.backendsRead) {
+    return;
+  }
+  for (const auto& [id, service] : catalog->services) {
+    if (service.scale) {
+      this->planner.Watch(id, this->state.backends, ServingState::Now());
+    }
+  }
+}
+
+Task<void>
+DutyKeeper::OrderEngines()
+{
+  const TimePoint now = ServingState::Now();
+  const auto catalog = this->state.catalog;
+  if (catalog == nullptr || !this->state.backendsRead || now < this->planAt) {
+    co_return;
+  }
+  this->planAt = now + kPlanEvery;
+  for (const auto& [id, service] : catalog->services) {
+    if (!service.scale || !service.engine) {
+      continue;
+    }
+    const double needed = this->Needed(service, now);
+    for (const GroupOrder& order :
+         this->planner.Plan(service, needed, this->state.backends, now)) {
+      if (this->Holds()) {
+        co_await this->SendOrder(order, needed);
+      }
+    }
+  }
+  while (this->ordersSent > 0) {
+    co_await Sleep(kOrdersLook);
+  }
+}
+
+double
+DutyKeeper::Needed(const ServiceSpec& aService, TimePoint aNow)
+{
+  ServiceDemand demand;
+  demand.promptTokensPerS = this->state.promptRates[aService.id].At(aNow) +
+                            this->state.peers.PromptRate(aService.id, aNow);
+  for (const Backend* backend : this->state.backends.Of(aService.id)) {
+    demand.running += static_cast<double>(backend->Running());
+  }
+  const auto placer = this->state.placers.find(aService.id);
+  if (placer != this->state.placers.end()) {
+    demand.promptTokensPerMs = placer->second.Speed().promptTokensPerMs;
+  }
+  const double needed = ScalePlanner::NeededEngines(demand, *aService.engine);
+  HighestLately& lately =
+    this->highest.try_emplace(aService.id, ScalePlanner::kRemembered)
+      .first->second;
+  lately.Add(needed, aNow);
+  return lately.Value();
+}
+
+Task<void>
+DutyKeeper::SendOrder(GroupOrder aOrder, double aNeeded)
+{
+  const EngineGroup& group = aOrder.group;
+  serving::DutyRecord record;
+  record.mutable_scale()->set_service(group.service.value);
+  record.mutable_scale()->set_zone(group.zone.value);
+  record.mutable_scale()->set_desired(aOrder.desired);
+  record.mutable_scale()->set_reclaimable(group.reclaimable);
+  const bool stands = co_await this->Record(std::move(record));
+  if (!stands) {
+    co_return;
+  }
+  ++this->ordersSent;
+  Worker& worker = this->state.pool.First();
+  worker.Spawn(this->AwaitOrder(aOrder, this->state.dutyFence, aNeeded));
+}
+
+Task<void>
+DutyKeeper::AwaitOrder(GroupOrder aOrder, Position aFence, double aNeeded)
+{
+  const EngineGroup& group = aOrder.group;
+  const ScaleOrder order{
+    group.service, group.zone, aOrder.desired, group.reclaimable
+  };
+  const unsigned status = co_await this->CallCloud(
+    this->state.wire.cloud.scale(this->state.settings.id, aFence, order));
+  --this->ordersSent;
+  this->state.log.Emit(
+    Event("engines.ordered")
+      .With("service", group.service)
+      .With("zone", group.zone)
+      .With("desired", aOrder.desired)
+      .With("reclaimable", group.reclaimable ? 1 : 0)
+      .With("needed_tenths", static_cast<std::int64_t>(aNeeded * 10))
+      .With("status", status)
+      .With("fence", aFence.value));
+  const TimePoint now = ServingState::Now();
+  if (status == kOk) {
+    this->planner.Accepted(aOrder, now);
+  } else {
+    this->planner.Refused(aOrder, now);
+  }
+}
+
+} // namespace toucanshed
--- a/src/serve/DutyKeeper.h
+++ b/src/serve/DutyKeeper.h
@@ -72,13 +72,13 @@
   ServingState& state;
   DutyLog records;
   ScalePlanner planner;
-  bool read = false;       // the records were read from their start
-  bool holderSeen = false; // some daemon held the duties
-  TimePoint holderHeardAt; // another daemon's word said that it holds it
+  bool read = false;          // the records were read from their start
+  bool holderSeen = false;    // some daemon held the duties
+  TimePoint holderHeardAt;    // another daemon's word said that it holds it
   std::size_t ordersSent = 0; // and not answered yet
-  Position holderEnd;      // where its records ended, by its words
-  TimePoint triedAt;       // the last claim
-  TimePoint planAt;        // orders are reviewed next
+  Position holderEnd;         // where its records ended, by its words
+  TimePoint triedAt;          // the last claim
+  TimePoint planAt;           // orders are reviewed next
   std::map<ServiceId, HighestLately> highest; // engines needed
   std::set<Position> statusWritten;           // of orders, by their positions
   std::set<std::uint64_t> sent; // windows whose reports were accepted
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -274,9 +274,8 @@
               const std::vector<std::string>& aAddresses)
 {
   const std::string bytes = aDatagram.SerializeAsString();
-  this->state.metrics.Count("toucanshed_peer_bytes_total",
-                            "",
-                            bytes.size() * aAddresses.size());
+  this->state.metrics.Count(
+    "toucanshed_peer_bytes_total", "", bytes.size() * aAddresses.size());
   for (const std::string& address : aAddresses) {
     const auto endpoint = ParseEndpoint(address);
     if (!endpoint) {
--- a/src/serve/PeerLink.h
+++ b/src/serve/PeerLink.h
@@ -36,9 +36,9 @@
   static constexpr std::uint64_t kSpreadPart = 4;
 
   /** Daemons that one word is said to at once; with more, the interval is
-   * divided between parts of them. Said to 88 at once, words of 1 to 2 KB filled
-   * the queue of a link of 10 Mbit/s, and what was said after them was lost for
-   * seconds on end: the holder reported a tenth of the usage. */
+   * divided between parts of them. Said to 88 at once, words of 1 to 2 KB
+   * filled the queue of a link of 10 Mbit/s, and what was said after them was
+   * lost for seconds on end: the holder reported a tenth of the usage. */
   static constexpr std::size_t kMostAtOnce = 12;
 
   explicit PeerLink(ServingState& aState);
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -82,9 +82,9 @@
   VersionMoves moves;
   EvidenceTable evidence;
   PeerTable peers;
-  Position dutyFence;                 // of the duty this daemon holds; 0: none
-  Position dutyEnd; // where the duties' records end, as far as read here
-  std::optional<TimePoint> storeLost; // since when it is not reached
+  Position dutyFence; // of the duty this daemon holds; 0: none
+  Position dutyEnd;   // where the duties' records end, as far as read here
+  std::optional<TimePoint> storeLost;     // since when it is not reached
   std::optional<TimePoint> storeReturned; // when it was reached again
   /** Tells the other daemons of a prompt that was just sent, with the tokens to
    * be read and the part that other requests may share. */
--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -61,7 +61,7 @@
 /** One call's outcome. */
 struct FeedRead
 {
-  std::optional<Position> next; // nothing: unknown where to read on
+  std::optional<Position> next;  // nothing: unknown where to read on
   std::optional<TimePoint> asOf; // nothing: the call failed
 };
 
@@ -100,7 +100,8 @@
     aFeed.apply(record);
   }
   // A call that was held until its time was over found nothing until then.
-  const bool held = page->records.empty() && ServingState::Now() - began >= aWait;
+  const bool held =
+    page->records.empty() && ServingState::Now() - began >= aWait;
   co_return FeedRead{ page->next, held ? began + aWait : began };
 }
 
@@ -134,8 +135,8 @@
   while (true) {
     const TimePoint began = ServingState::Now();
     const bool reads = aState.ReadsForAll();
-    const bool waits = !reads && !aState.storeLost &&
-                       !aFeed.freshness->Due(began, aFeed.most);
+    const bool waits =
+      !reads && !aState.storeLost && !aFeed.freshness->Due(began, aFeed.most);
     if (waits) {
       if (!aFeed.keepsPlace) {
         next.reset();
@@ -144,10 +145,9 @@
       continue;
     }
     if (!reads) {
+      const auto topic = std::to_string(static_cast<int>(aFeed.topic));
       aState.metrics.Count("toucanshed_own_reads_total",
-                           "topic=\"" +
-                             std::to_string(static_cast<int>(aFeed.topic)) +
-                             "\"");
+                           "topic=\"" + topic + "\"");
     }
     const Millis wait = reads ? aFeed.wait : Millis(0);
     const FeedRead read = co_await Read(aState, aFeed, next, wait);
@@ -180,10 +180,18 @@
 ApplyListed(ServingState& aState, const KeyedRecord& aRecord)
 {
   const bool changed = TakeBackendRecord(aState, aRecord);
-  if (changed) {
-    aState.listCopy.NoteChange(ListChange{
-      aRecord.key, aRecord.value, aRecord.position, ServingState::Now() });
+  if (!changed) {
+    return;
   }
+  const Backend* backend = aState.backends.Find(InstanceId{ aRecord.key });
+  ListChange change;
+  change.key = aRecord.key;
+  change.value = aRecord.value;
+  change.position = aRecord.position;
+  change.seen = ServingState::Now();
+  change.leaving =
+    aRecord.value && backend != nullptr && backend->entry.leaving;
+  aState.listCopy.NoteChange(std::move(change));
 }
 
 void
@@ -197,7 +205,10 @@
     record->set_key(change.key);
     record->set_position(change.position.value);
     record->set_gone(!change.value.has_value());
-    record->set_value(change.value.value_or(""));
+    record->set_leaving(change.leaving);
+    // A domain's reclaim lists tens of engines at once; 10 times as short, the
+    // word passes a link of 10 Mbit/s to 88 daemons in 0.1 s, not in one.
+    record->set_value(change.leaving ? "" : change.value.value_or(""));
   }
 }
 
@@ -271,6 +282,11 @@
     return;
   }
   for (const serving::ListRecord& news : aWord.news()) {
+    if (news.leaving()) {
+      TakeLeaving(
+        aState, InstanceId{ news.key() }, Position{ news.position() });
+      continue;
+    }
     KeyedRecord record;
     record.key = news.key();
     record.position = Position{ news.position() };
