--- a/test/failure/DutyTest.cpp
+++ b/test/failure/DutyTest.cpp
@@ -4,6 +4,7 @@
 #include "serve/DutyKeeper.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <set>
 
 namespace toucanshed::test {
@@ -30,6 +31,18 @@
   }
 }
 
+/** Waits until something holds; on a busy machine that takes as long as it
+ * takes. \return whether it came to hold at all. */
+Task<bool>
+Until(std::function<bool()> aHolds)
+{
+  constexpr int kMostLooks = 1000;
+  for (int i = 0; i < kMostLooks && !aHolds(); ++i) {
+    co_await Sleep(std::chrono::milliseconds(10));
+  }
+  co_return aHolds();
+}
+
 /** Windows with the distinct bodies that were accepted for each. */
 std::map<std::string, std::set<std::string>>
 Reports(const standin::PlatformCloud& aCloud)
@@ -125,27 +138,32 @@
                DutyKeeper& aKeeper,
                DutyKeeper& aNext,
                bool& aGaveUp) -> Task<void> {
+    aWorld.state->pool.First().Spawn(aKeeper.Run());
+    std::function<bool()> held = [&] {
+      return aWorld.state->dutyFence.value == 1;
+    };
+    co_await Until(std::move(held));
     serving::DaemonWord word;
     word.set_id("daemon-1");
     word.set_life(1);
     word.set_sequence(1);
     word.set_duty_fence(1);
     aOther.peers.Hear(word, ServingState::Now());
-    aWorld.state->pool.First().Spawn(aKeeper.Run());
     aWorld.state->pool.First().Spawn(RunBeside(aOther));
     aOther.pool.First().Spawn(aNext.Run());
-    co_await Sleep(std::chrono::milliseconds(2200));
-    REQUIRE(aWorld.state->dutyFence.value == 1);
     // Only the holder is turned away: the other one is still served.
     aWorld.state->settings.store->port(1);
     aWorld.state->storeLost = ServingState::Now() - Millis(1200);
-    co_await Sleep(std::chrono::milliseconds(400));
-    aGaveUp = aWorld.state->dutyFence.value == 0;
+    std::function<bool()> free = [&] {
+      return aWorld.state->dutyFence.value == 0;
+    };
+    aGaveUp = co_await Until(std::move(free));
     word.set_sequence(2);
     word.set_duty_fence(0);
     word.set_store_lost(true);
     aOther.peers.Hear(word, ServingState::Now());
-    co_await Sleep(std::chrono::milliseconds(900));
+    std::function<bool()> next = [&] { return aOther.dutyFence.value > 1; };
+    co_await Until(std::move(next));
   }(world, *other, keeper, next, gaveUp));
   CHECK(gaveUp);
   CHECK(other->dutyFence.value > 1);
@@ -209,11 +227,16 @@
   world.store.loseAnswers = true;
   world.Run([](PlatformWorld& aWorld, DutyKeeper& aKeeper) -> Task<void> {
     aWorld.state->pool.First().Spawn(aKeeper.Run());
-    co_await Sleep(std::chrono::milliseconds(2200)); // one claim, unanswered
-    CHECK(aWorld.store.appends > 0);
+    std::function<bool()> tried = [&] { return aWorld.store.appends > 0; };
+    const bool claimed = co_await Until(std::move(tried));
+    CHECK(claimed);
+    co_await Sleep(std::chrono::milliseconds(400));
     CHECK(aWorld.cloud.accepted.empty());
     aWorld.store.loseAnswers = false;
-    co_await Sleep(std::chrono::milliseconds(3500));
+    std::function<bool()> held = [&] {
+      return aWorld.state->dutyFence.value > 1;
+    };
+    co_await Until(std::move(held));
   }(world, keeper));
   CHECK(world.state->dutyFence.value > 1);
   CHECK(world.cloud.fenced == 0);
