--- a/test/correctness/ScalePlannerTest.cpp
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -133,8 +133,8 @@
 TEST_CASE("engines that are not listed yet are not taken for missing")
 {
   // All daemons start at once, and the engines' first heartbeats come over the
-  // next two seconds. A plan made from the first four of them would have 14 of
-  // 18 engines drained just before the traffic begins.
+  // next two seconds. A plan made from the first four of them would have most
+  // of the 18 engines drained just before the traffic begins.
   ScaleWorld world;
   world.Add("a", false, 4);
   CHECK(world.Play(0, 1) == 0);
