--- a/src/coord/TeamQuotas.h
+++ b/src/coord/TeamQuotas.h
@@ -43,8 +43,9 @@
    * rest is for the lag of the copies. */
   static constexpr double kUsedTolerance = 0.25;
   /** Part of its burst that a new bucket holds. A daemon that starts again must
-   * not give the whole burst out twice: with 0.5, 83 daemons killed at once under
-   * a flood let 76,000 tokens more through than the 6.1 million of a window. */
+   * not give the whole burst out twice: with 0.5, 83 daemons killed at once
+   * under a flood let 76,000 tokens more through than the 6.1 million of a
+   * window. */
   static constexpr double kFirstLevel = 0.15;
 
   explicit TeamQuotas(QuotaTolerance aTolerance)
