Each daemon gives out the part of a team's limit that stands for those it hears

Ruled out: the onset of a flood. It lets more through for a second as well, but takes it back from all copies within the window; only a kill forgets it.

Change: QuotaExchange (out of PeerTable) keeps what the others told, and the part of the limits that stands for the daemons heard; a daemon gives out and refills only that part. While a bucket runs low each daemon tells at once what it lets through. A daemon that starts asks, and takes the level that a daemon which runs longer tells.

The tests of one daemon that is cut off and of the burst after a restart are replaced by stricter ones: any two groups, 30 s without the others and the store, kills of 6, 83 and 330 daemons with words lost and late; teams within their limit are checked after each.

--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -26,7 +26,6 @@
   if (older) {
     return false;
   }
-  HearQuota(peer, aWord, aNow);
   peer.word = aWord;
   peer.sinceWord.clear();
   peer.address = aWord.address();
@@ -172,53 +171,6 @@
   return loads;
 }
 
-void
-PeerTable::HearQuota(Peer& aPeer,
-                     const serving::DaemonWord& aWord,
-                     TimePoint aNow)
-{
-  constexpr double kNewest = 0.08; // about the last two seconds count
-  const bool newLife = aPeer.spoke && aWord.life() != aPeer.word.life();
-  if (newLife) {
-    aPeer.quota.clear(); // it counts from 0 again
-  }
-  for (const serving::TeamWord& team : aWord.teams()) {
-    const TeamId id{ team.team() };
-    const auto [entry, isNew] = aPeer.quota.try_emplace(id);
-    QuotaUse& use = entry->second;
-    if (!aPeer.spoke) {
-      // First word: what it let through before is not this daemon's to count.
-      use = QuotaUse{ team.taken(), team.taken(), 0, aNow };
-      continue;
-    }
-    if (isNew) {
-      use.wordAt = aPeer.heard;
-    }
-    const auto passed =
-      static_cast<double>(std::max<std::int64_t>(1, aNow.ms - use.wordAt.ms));
-    const double rate = (team.taken() - use.known) / passed;
-    use.perMs += kNewest * (rate - use.perMs);
-    use.known = team.taken();
-    use.wordAt = aNow;
-  }
-}
-
-std::map<TeamId, double>
-PeerTable::TakeQuotaUse(TimePoint aNow)
-{
-  std::map<TeamId, double> news;
-  for (auto& [id, peer] : this->peers) {
-    const Millis silent = std::min(aNow - peer.heard, kGuessed);
-    for (auto& [team, use] : peer.quota) {
-      const double counted =
-        use.known + use.perMs * static_cast<double>(silent.count());
-      news[team] += counted - use.counted;
-      use.counted = counted;
-    }
-  }
-  return news;
-}
-
 double
 PeerTable::PromptRate(const ServiceId& aService, TimePoint aNow) const
 {
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -32,9 +32,6 @@
   /** Its counted usage is kept for this long: until the windows in it have
    * been reported. */
   static constexpr Millis kForgotten{ 30000 };
-  /** A daemon is taken to go on letting requests through for this long after
-   * its last word; its callers have gone elsewhere by then. */
-  static constexpr Millis kGuessed{ 6000 };
   /** Daemons beside the holder that keep the counts: the first ones in the
    * order of ids, in which they claim the duties. Only if all of these die
    * within one window is something of it lost. */
@@ -65,12 +62,6 @@
    * has died had counted. Sent to all, they were most of every word and filled
    * links of 10 Mbit/s among 89 daemons. */
   [[nodiscard]] std::vector<std::string> KeeperAddresses(TimePoint aNow) const;
-  /** What the other daemons let through for each team since this was last
-   * asked: by their words, and beyond these guessed from how they went on until
-   * then. The next word makes a guess good. Without it every daemon would give
-   * out the whole refill between two words, and together many times the limit;
-   * and a daemon that is cut off from here may still serve. */
-  std::map<TeamId, double> TakeQuotaUse(TimePoint aNow);
   /** Daemons heard of lately, without this one. */
   [[nodiscard]] std::vector<const serving::DaemonWord*> Live(
     TimePoint aNow) const;
@@ -104,15 +95,6 @@
                                         TimePoint aNow) const;
 
 private:
-  /** A team's use of its limit at another daemon. */
-  struct QuotaUse
-  {
-    double known = 0;   // by its last word
-    double counted = 0; // given out by TakeQuotaUse, guesses too
-    double perMs = 0;
-    TimePoint wordAt;
-  };
-
   struct Peer
   {
     std::string address;
@@ -123,13 +105,8 @@
     serving::LedgerWord ledger;
     /** Counts of lives before this one: window, team, count. */
     std::map<std::pair<std::uint64_t, TeamId>, std::uint64_t> earlier;
-    std::map<TeamId, QuotaUse> quota;
   };
 
-  static void HearQuota(Peer& aPeer,
-                        const serving::DaemonWord& aWord,
-                        TimePoint aNow);
-
   DaemonId self;
   std::map<DaemonId, Peer> peers;
 };
--- /dev/null
+++ b/src/coord/QuotaExchange.h
@@ -0,0 +1,115 @@
+/** \file
+ * What the other daemons have let through for each team, and the part of the
+ * limits that may be given out here.
+ */
+#pragma once
+
+#include "base/Types.h"
+#include "serving.pb.h"
+
+#include <map>
+#include <optional>
+
+namespace toucanshed {
+
+/** When a word about the limits is said. */
+enum class QuotaTelling
+{
+  eRegular, // at a time that has nothing to do with requests
+  eAtOnce,  // right behind a request, or asked for
+};
+
+/**
+ * Daemons tell running totals, so a lost or repeated word does no harm and the
+ * next one makes good what was missed.
+ *
+ * A daemon gives out only the part of a limit that stands for the daemons it
+ * hears. After all of them were killed at once none hears another, and each
+ * taking the whole limit for itself would let a flooding team through as many
+ * times over as there are daemons; so would two groups that are cut off from
+ * each other. The parts of all groups sum up to the limit.
+ *
+ * Thread safety: none; the owner serialises.
+ */
+class QuotaExchange
+{
+public:
+  /** A daemon is taken to go on letting requests through for this long after
+   * its last word, and its part of the limits is kept for it; its callers have
+   * gone elsewhere by then. */
+  static constexpr Millis kGuessed{ 6000 };
+
+  /** A daemon that has not been heard for this long is forgotten, so that the
+   * table does not grow with each machine that is replaced. */
+  static constexpr Millis kForgotten{ 300000 };
+
+  explicit QuotaExchange(DaemonId aSelf)
+    : self(std::move(aSelf))
+  {
+  }
+
+  /** A daemon is listed in the store, and may be serving unheard. */
+  void Learn(const DaemonId& aId, TimePoint aNow);
+  /** The list of daemons has been read. Before that and the first word it is
+   * not known with how many the limits are shared. */
+  void Listed() { this->listed = true; }
+  void Hear(const serving::QuotaWord& aWord,
+            QuotaTelling aTelling,
+            TimePoint aNow);
+
+  void Expire(TimePoint aNow);
+
+  /** What the other daemons let through for each team since this was last
+   * asked: by their words, and beyond these guessed from how they went on until
+   * then. The next word makes a guess good. Without it every daemon would give
+   * out the whole refill between two words, and together many times the limit;
+   * and a daemon that is cut off from here may still serve. */
+  std::map<TeamId, double> TakeUse(TimePoint aNow);
+
+  /** Part of each limit that stands for this daemon and those it hears, in
+   * 0..1.
+   * \param aSilent time without a word after which a daemon is not heard
+   * \param aReachesStore a daemon that hears nobody and does not reach the
+   *   store is itself cut off, and keeps to its part for as long as it is */
+  [[nodiscard]] double HeardPart(TimePoint aNow,
+                                 Millis aSilent,
+                                 bool aReachesStore) const;
+
+  /** The lowest level of a team's bucket that a daemon which knows it has told;
+   * nothing when none has. */
+  [[nodiscard]] std::optional<double> ToldLevel(const TeamId& aTeam,
+                                                TimePoint aNow) const;
+
+private:
+  /** A team's use of its limit at another daemon. */
+  struct Use
+  {
+    double known = 0;   // by its last word
+    double counted = 0; // given out by TakeUse, guesses too
+    double perMs = 0;
+    TimePoint wordAt;
+    double ratedTaken = 0; // the rate is known up to here
+    TimePoint ratedAt;
+    std::optional<double> level;
+  };
+
+  struct Peer
+  {
+    TimePoint knownSince;
+    std::optional<TimePoint> heard;
+    std::uint64_t life = 0;
+    std::map<TeamId, Use> uses;
+  };
+
+  static void Rate(Use& aUse, TimePoint aNow);
+  static void HearTeam(Peer& aPeer,
+                       const serving::TeamWord& aTeam,
+                       QuotaTelling aTelling,
+                       TimePoint aNow);
+
+  DaemonId self;
+  bool listed = false;
+  std::map<DaemonId, Peer> peers;
+};
+
+} // namespace toucanshed
--- a/src/coord/TeamQuotas.cpp
+++ b/src/coord/TeamQuotas.cpp
@@ -17,13 +17,29 @@
 } // namespace
 
 void
-TeamQuotas::Fill(Bucket& aBucket, TimePoint aNow)
+TeamQuotas::Fill(Bucket& aBucket, TimePoint aNow) const
 {
-  const double gained = aBucket.rate * Seconds(aNow - aBucket.filled);
-  aBucket.level = std::min(aBucket.level + gained, aBucket.burst);
+  const double gained =
+    this->part * aBucket.rate * Seconds(aNow - aBucket.filled);
+  const double most = std::max(aBucket.level, this->part * aBucket.burst);
+  aBucket.level = std::min(aBucket.level + gained, most);
   aBucket.filled = aNow;
 }
 
+void
+TeamQuotas::SetPart(double aPart, TimePoint aNow)
+{
+  if (aPart == this->part) {
+    return;
+  }
+  for (auto& [team, bucket] : this->buckets) {
+    this->Fill(bucket, aNow);
+    // What stands for daemons that are not heard any more, they may give out.
+    bucket.level = std::min(bucket.level, aPart * bucket.burst);
+  }
+  this->part = aPart;
+}
+
 void
 TeamQuotas::Configure(const Catalog& aCatalog, TimePoint aNow)
 {
@@ -31,24 +47,29 @@
   for (const Team& team : aCatalog.teams) {
     const double whole =
       team.ratePerSecond * Seconds(this->tolerance.window) + team.burst;
-    const double burst =
-      team.burst + kUsedTolerance * (this->tolerance.overshoot * whole +
-                                     this->tolerance.slack);
+    const double mayStray =
+      this->tolerance.overshoot * whole + this->tolerance.slack;
+    const double burst = team.burst + kUsedTolerance * mayStray;
     const auto known = this->buckets.find(team.id);
     Bucket bucket;
     if (known != this->buckets.end()) {
       bucket = known->second;
-      Fill(bucket, aNow);
+      this->Fill(bucket, aNow);
     } else {
-      bucket.level = burst * kFirstLevel;
+      // A team that this daemon has seen come into being has used nothing yet.
+      bucket.settled = this->configured;
+      bucket.level = this->configured ? burst : 0;
       bucket.filled = aNow;
+      bucket.made = aNow;
     }
     bucket.rate = team.ratePerSecond;
     bucket.burst = burst;
-    bucket.level = std::min(bucket.level, burst);
+    bucket.mayStray = mayStray;
+    bucket.level = std::min(bucket.level, this->part * burst);
     next[team.id] = bucket;
   }
   this->buckets = std::move(next);
+  this->configured = true;
 }
 
 std::optional<Millis>
@@ -59,13 +80,13 @@
     return std::nullopt;
   }
   Bucket& bucket = found->second;
-  Fill(bucket, aNow);
+  this->Fill(bucket, aNow);
   // A request larger than half of the bucket could starve behind small ones;
   // it may use what is there, and the rest is refilled before the next one.
-  const double needed = std::min(aCost, bucket.burst / 2);
-  if (bucket.level >= needed) {
+  const double needed = std::min(aCost, this->part * bucket.burst / 2);
+  if (this->part > 0 && bucket.level >= needed) {
     bucket.level -= aCost;
-    this->taken[aTeam.id] += aCost;
+    this->uses[aTeam.id].taken += aCost;
     return std::nullopt;
   }
   const double wait = (needed - bucket.level) / bucket.rate;
@@ -77,9 +98,96 @@
 {
   const auto found = this->buckets.find(aTeam);
   if (found != this->buckets.end()) {
-    Fill(found->second, aNow);
+    this->Fill(found->second, aNow);
     found->second.level -= aCost;
   }
 }
 
+bool
+TeamQuotas::Settled(const Bucket& aBucket, TimePoint aNow) const
+{
+  return aBucket.settled || aNow - aBucket.made >= this->tolerance.window;
+}
+
+std::vector<TeamId>
+TeamQuotas::Unsettled(TimePoint aNow) const
+{
+  std::vector<TeamId> teams;
+  const auto window = static_cast<double>(this->tolerance.window.count());
+  const Millis within(static_cast<std::int64_t>(kSettlesWithin * window));
+  for (const auto& [team, bucket] : this->buckets) {
+    if (!bucket.settled && aNow - bucket.made < within) {
+      teams.push_back(team);
+    }
+  }
+  return teams;
+}
+
+void
+TeamQuotas::Settle(const TeamId& aTeam, double aLevel, TimePoint aNow)
+{
+  const auto found = this->buckets.find(aTeam);
+  if (found == this->buckets.end() || this->Settled(found->second, aNow)) {
+    return;
+  }
+  Bucket& bucket = found->second;
+  bucket.settled = true;
+  bucket.level =
+    std::min(aLevel - this->UseOf(aTeam).taken, this->part * bucket.burst);
+  bucket.filled = aNow;
+}
+
+TeamQuotas::Use
+TeamQuotas::UseOf(const TeamId& aTeam) const
+{
+  const auto found = this->uses.find(aTeam);
+  return found == this->uses.end() ? Use{} : found->second;
+}
+
+QuotaCopy
+TeamQuotas::CopyOf(const TeamId& aTeam,
+                   const Bucket& aBucket,
+                   TimePoint aNow) const
+{
+  QuotaCopy copy{ aTeam, this->UseOf(aTeam).taken, std::nullopt };
+  if (this->Settled(aBucket, aNow)) {
+    copy.level = aBucket.level;
+  }
+  return copy;
+}
+
+std::vector<QuotaCopy>
+TeamQuotas::Copies(TimePoint aNow) const
+{
+  std::vector<QuotaCopy> copies;
+  copies.reserve(this->buckets.size());
+  for (const auto& [team, bucket] : this->buckets) {
+    copies.push_back(this->CopyOf(team, bucket, aNow));
+  }
+  return copies;
+}
+
+bool
+TeamQuotas::MustTell(const TeamId& aTeam, std::size_t aDaemons) const
+{
+  const auto found = this->buckets.find(aTeam);
+  if (found == this->buckets.end()) {
+    return false;
+  }
+  const Bucket& bucket = found->second;
+  const bool low = bucket.level < kLow * bucket.burst;
+  const double mayBeUntold =
+    kUntoldTolerance * bucket.mayStray / static_cast<double>(aDaemons);
+  const Use use = this->UseOf(aTeam);
+  return low && use.taken - use.told >= mayBeUntold;
+}
+
+QuotaCopy
+TeamQuotas::Tell(const TeamId& aTeam, TimePoint aNow)
+{
+  Use& use = this->uses[aTeam];
+  use.told = use.taken;
+  return this->CopyOf(aTeam, this->buckets.at(aTeam), aNow);
+}
+
 } // namespace toucanshed
--- a/src/coord/TeamQuotas.h
+++ b/src/coord/TeamQuotas.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace toucanshed {
 
@@ -22,17 +23,30 @@
   double slack = 0;       // beyond that part
 };
 
+/** What other daemons need to know of one team's bucket here. */
+struct QuotaCopy
+{
+  TeamId team;
+  double taken = 0;            // let through here since the start
+  std::optional<double> level; // only if what was let through before is known
+};
+
 /**
  * Every daemon keeps a copy of each team's whole bucket. What it lets through
- * it takes from its own copy at once and tells the others several times a
- * second; they take it from theirs. Dividing the bucket instead gives each
- * daemon so little that one long prompt empties it for seconds while the team
- * is far below its limit: 124 requests of a calm day were refused so, 0 with
- * copies.
+ * it takes from its own copy at once and tells the others; they take it from
+ * theirs. Dividing the bucket instead gives each daemon so little that one long
+ * prompt empties it for seconds while the team is far below its limit.
  *
  * Copies lag by one word, so daemons may together let through a little more
  * than is there; it is taken from all copies all the same and waits to be
- * refilled, so that the excess does not add up.
+ * refilled, so that the excess does not add up. While a bucket runs low each
+ * daemon tells at once what it lets through, so that the lag stays far below
+ * what may be overshot.
+ *
+ * A daemon that starts does not know what was let through before. Its buckets
+ * begin empty, so that a team whose limit was used up does not get its burst
+ * again when all daemons are killed at once, and take the level that a daemon
+ * which runs longer tells.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -41,12 +55,17 @@
 public:
   /** Part of what may be overshot that is given out on purpose, as burst; the
    * rest is for the lag of the copies. */
-  static constexpr double kUsedTolerance = 0.25;
-  /** Part of its burst that a new bucket holds. A daemon that starts again must
-   * not give the whole burst out twice: with 0.5, 83 daemons killed at once
-   * under a flood let 76,000 tokens more through than the 6.1 million of a
-   * window. */
-  static constexpr double kFirstLevel = 0.15;
+  static constexpr double kUsedTolerance = 0.15;
+  /** Part of what may be overshot that all daemons together may have let
+   * through of a bucket that runs low without having told it. */
+  static constexpr double kUntoldTolerance = 0.25;
+  /** Part of the window after a start in which a told level is taken over.
+   * Daemons that started together find out by themselves what was let through
+   * since; the first of them to know for a whole window must not set back the
+   * others. */
+  static constexpr double kSettlesWithin = 0.5;
+  /** Part of its burst below which a bucket runs low. */
+  static constexpr double kLow = 0.5;
 
   explicit TeamQuotas(QuotaTolerance aTolerance)
     : tolerance(aTolerance)
@@ -55,6 +74,8 @@
 
   /** Takes the limits in force. Teams that stay keep what they have used. */
   void Configure(const Catalog& aCatalog, TimePoint aNow);
+  /** Gives out only aPart, in 0..1, of the limits from here on. */
+  void SetPart(double aPart, TimePoint aNow);
 
   /** Takes aCost from the team's bucket.
    * \return how long to wait when there is too little left. */
@@ -62,26 +83,52 @@
   /** What another daemon has let through; negative to take back a guess. */
   void TakenElsewhere(const TeamId& aTeam, double aCost, TimePoint aNow);
 
-  /** All that this daemon has let through since its start. */
-  [[nodiscard]] const std::map<TeamId, double>& Taken() const
-  {
-    return this->taken;
-  }
+  /** Teams whose buckets lack what was let through before the start, and may
+   * still take it over. */
+  [[nodiscard]] std::vector<TeamId> Unsettled(TimePoint aNow) const;
+  /** Takes over the level that a daemon which knows it has told. */
+  void Settle(const TeamId& aTeam, double aLevel, TimePoint aNow);
+
+  /** All buckets as the other daemons need to know them. */
+  [[nodiscard]] std::vector<QuotaCopy> Copies(TimePoint aNow) const;
+  /** Whether the other daemons must hear at once what was let through here.
+   * \param aDaemons that share the limit, at least 1 */
+  [[nodiscard]] bool MustTell(const TeamId& aTeam, std::size_t aDaemons) const;
+  /** They have been told. \return what they are to hear. */
+  QuotaCopy Tell(const TeamId& aTeam, TimePoint aNow);
 
 private:
+  /** What was let through here since the start. */
+  struct Use
+  {
+    double taken = 0;
+    double told = 0; // of it, at once
+  };
+
   struct Bucket
   {
     double level = 0;
     double rate = 0;
-    double burst = 0; // with the part of the tolerance
+    double burst = 0;    // with the part of the tolerance
+    double mayStray = 0; // what may be let through beyond the limit in a window
     TimePoint filled;
+    TimePoint made;
+    bool settled = false;
   };
 
-  static void Fill(Bucket& aBucket, TimePoint aNow);
+  [[nodiscard]] bool Settled(const Bucket& aBucket, TimePoint aNow) const;
+  [[nodiscard]] Use UseOf(const TeamId& aTeam) const;
+  [[nodiscard]] QuotaCopy CopyOf(const TeamId& aTeam,
+                                 const Bucket& aBucket,
+                                 TimePoint aNow) const;
+  void Fill(Bucket& aBucket, TimePoint aNow) const;
 
   QuotaTolerance tolerance;
+  double part = 1;
+  bool configured = false;
   std::map<TeamId, Bucket> buckets;
-  std::map<TeamId, double> taken;
+  /** Kept for teams that are gone too, as the other daemons keep them. */
+  std::map<TeamId, Use> uses;
 };
 
 } // namespace toucanshed
--- a/src/serve/CallerFace.cpp
+++ b/src/serve/CallerFace.cpp
@@ -118,6 +118,9 @@
       return tl::unexpected(
         Refusal{ kTooMany, "over the team's limit", *wait, request.team->id });
     }
+    if (aState.quotas.MustTell(request.team->id, aState.Daemons())) {
+      aState.tellQuota(request.team->id);
+    }
   }
   return request;
 }
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -64,6 +64,16 @@
   }
 }
 
+void
+AddCopy(const QuotaCopy& aCopy, serving::QuotaWord& aWord)
+{
+  serving::TeamWord* entry = aWord.add_teams();
+  entry->set_team(aCopy.team.value);
+  entry->set_taken(aCopy.taken);
+  entry->set_settled(aCopy.level.has_value());
+  entry->set_level(aCopy.level.value_or(0));
+}
+
 } // namespace
 
 PeerLink::PeerLink(ServingState& aState)
@@ -91,6 +101,9 @@
                                 const std::string& aSharedPart) {
     this->TellSent(aBackend, aPromptTokens, aSharedPart);
   };
+  this->state.tellQuota = [this](const TeamId& aTeam) {
+    this->TellQuota(aTeam);
+  };
   this->state.tellStore = [this](const serving::StoreWord& aWord) {
     serving::Datagram datagram;
     *datagram.mutable_store() = aWord;
@@ -137,6 +150,9 @@
   for (const peer::Evidence& evidence : aDatagram.evidence().evidence()) {
     this->state.evidence.Merge(evidence);
   }
+  if (aDatagram.has_quota()) {
+    this->TakeQuota(aDatagram.quota());
+  }
   if (aDatagram.has_store()) {
     TakeStoreWord(this->state, aDatagram.store());
   }
@@ -178,6 +194,7 @@
   if (!this->state.peers.Hear(aWord, now)) {
     return;
   }
+  this->state.quotaExchange.Hear(aWord.quota(), QuotaTelling::eRegular, now);
   for (const serving::BackendWord& backend : aWord.backends()) {
     if (backend.leaving()) {
       this->state.backends.MarkLeaving(InstanceId{ backend.id() });
@@ -220,6 +237,65 @@
   }
 }
 
+std::string
+PeerLink::OwnAddress() const
+{
+  return this->state.settings.address + ":" +
+         std::to_string(this->state.settings.peerPort);
+}
+
+serving::QuotaWord
+PeerLink::QuotaHead() const
+{
+  serving::QuotaWord word;
+  word.set_id(this->state.settings.id.value);
+  word.set_life(this->state.life);
+  word.set_address(this->OwnAddress());
+  return word;
+}
+
+serving::QuotaWord
+PeerLink::MakeQuota() const
+{
+  serving::QuotaWord word = this->QuotaHead();
+  for (const QuotaCopy& copy : this->state.quotas.Copies(ServingState::Now())) {
+    AddCopy(copy, word);
+  }
+  return word;
+}
+
+void
+PeerLink::TellQuota(const TeamId& aTeam)
+{
+  serving::Datagram datagram;
+  *datagram.mutable_quota() = this->QuotaHead();
+  AddCopy(this->state.quotas.Tell(aTeam, ServingState::Now()),
+          *datagram.mutable_quota());
+  this->Say(datagram, this->state.peers.Addresses());
+}
+
+void
+PeerLink::AskForQuotas()
+{
+  serving::Datagram datagram;
+  *datagram.mutable_quota() = this->MakeQuota();
+  datagram.mutable_quota()->set_ask(true);
+  this->Say(datagram, this->state.peers.Addresses());
+}
+
+void
+PeerLink::TakeQuota(const serving::QuotaWord& aWord)
+{
+  this->state.quotaExchange.Hear(
+    aWord, QuotaTelling::eAtOnce, ServingState::Now());
+  if (!aWord.ask()) {
+    return;
+  }
+  serving::Datagram answer;
+  *answer.mutable_quota() = this->MakeQuota();
+  this->Say(answer, { aWord.address() });
+}
+
 serving::DaemonWord
 PeerLink::MakeWord()
 {
@@ -229,8 +305,7 @@
   word.set_life(this->state.life);
   word.set_sequence(++this->sequence);
   word.set_zone(this->state.settings.zone.value);
-  word.set_address(this->state.settings.address + ":" +
-                   std::to_string(this->state.settings.peerPort));
+  word.set_address(this->OwnAddress());
   word.set_wall_ms(ServingState::WallMs());
   word.set_stopping(this->state.stopping);
   word.set_store_lost(this->state.storeLost.has_value());
@@ -240,11 +315,7 @@
     word.set_catalog_version(this->state.catalog->version);
   }
   AddBackends(this->state, word);
-  for (const auto& [team, taken] : this->state.quotas.Taken()) {
-    auto* entry = word.add_teams();
-    entry->set_team(team.value);
-    entry->set_taken(taken);
-  }
+  *word.mutable_quota() = this->MakeQuota();
   for (const auto& [service, meter] : this->state.promptRates) {
     auto* entry = word.add_services();
     entry->set_service(service.value);
@@ -296,6 +367,7 @@
 PeerLink::Refresh(TimePoint aNow)
 {
   this->state.peers.Expire(aNow);
+  this->state.quotaExchange.Expire(aNow);
   this->state.facts.Expire(aNow);
   this->state.backends.Expire(aNow);
   this->state.backends.SetOthers(this->state.peers.Loads(aNow));
@@ -335,11 +407,11 @@
   serving::MemberRecord own;
   own.set_id(this->state.settings.id.value);
   own.set_life(this->state.life);
-  own.set_address(this->state.settings.address + ":" +
-                  std::to_string(this->state.settings.peerPort));
+  own.set_address(this->OwnAddress());
   const std::string record = this->state.wire.store.keyed(
     this->state.settings.id.value, own.SerializeAsString());
   bool written = false;
+  bool asked = false; // the others how the limits are used
   while (true) {
     if (!written) {
       const auto appended =
@@ -351,9 +423,16 @@
       for (const KeyedRecord& entry : members->records) {
         serving::MemberRecord member;
         if (entry.value && member.ParseFromString(*entry.value)) {
-          this->state.peers.Learn(DaemonId{ member.id() }, member.address());
+          const DaemonId id{ member.id() };
+          this->state.peers.Learn(id, member.address());
+          this->state.quotaExchange.Learn(id, ServingState::Now());
         }
       }
+      this->state.quotaExchange.Listed();
+      if (!asked) {
+        asked = true;
+        this->AskForQuotas();
+      }
     }
     co_await Sleep(written && members ? kMeetEvery : kMeetRetry);
   }
--- a/src/serve/PeerLink.h
+++ b/src/serve/PeerLink.h
@@ -69,7 +69,16 @@
   Millis Interval();
   void Say(const serving::Datagram& aDatagram,
            const std::vector<std::string>& aAddresses);
+  [[nodiscard]] std::string OwnAddress() const;
   serving::DaemonWord MakeWord();
+  [[nodiscard]] serving::QuotaWord QuotaHead() const;
+  [[nodiscard]] serving::QuotaWord MakeQuota() const;
+  /** Tells all at once what was let through for a team. */
+  void TellQuota(const TeamId& aTeam);
+  /** A daemon that has just started asks how the limits are used, so that it
+   * need not wait for the others' next words. */
+  void AskForQuotas();
+  void TakeQuota(const serving::QuotaWord& aWord);
   [[nodiscard]] serving::LedgerWord MakeLedger() const;
   /** Tells the duties' holder and those that may follow it. */
   void TellKeepers(TimePoint aNow);
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -4,6 +4,7 @@
 #include "coord/StoreReaders.h"
 
 #include <chrono>
+#include <cmath>
 
 namespace toucanshed {
 
@@ -20,6 +21,7 @@
   , quotas(QuotaTolerance{ settings.bounds.quotaWindow,
                            settings.bounds.quotaOvershoot,
                            settings.bounds.quotaSlack })
+  , quotaExchange(settings.id)
   , usage(settings.bounds.usageWindow)
   , moves(ExposureLimits{ settings.bounds.exposureShare })
   , evidence(settings.id.value + "/" + std::to_string(aLife))
@@ -66,11 +68,35 @@
 void
 ServingState::CountQuotaUse(TimePoint aNow)
 {
-  for (const auto& [team, taken] : this->peers.TakeQuotaUse(aNow)) {
+  const double part =
+    this->quotaExchange.HeardPart(aNow, this->peers.Silent(), !this->storeLost);
+  this->quotas.SetPart(part, aNow);
+  this->LogLimitsPart(part);
+  for (const TeamId& team : this->quotas.Unsettled(aNow)) {
+    if (const auto level = this->quotaExchange.ToldLevel(team, aNow)) {
+      this->quotas.Settle(team, *level, aNow);
+    }
+  }
+  for (const auto& [team, taken] : this->quotaExchange.TakeUse(aNow)) {
     this->quotas.TakenElsewhere(team, taken, aNow);
   }
 }
 
+void
+ServingState::LogLimitsPart(double aPart)
+{
+  constexpr double kWorthTelling = 0.1;
+  constexpr double kPercent = 100;
+  if (std::abs(aPart - this->loggedLimitsPart) < kWorthTelling) {
+    return;
+  }
+  this->loggedLimitsPart = aPart;
+  this->log.Emit(Event("limits.part")
+                   .With("percent", static_cast<std::int64_t>(aPart * kPercent))
+                   .With("daemons", this->Daemons())
+                   .With("store_reached", this->storeLost ? 0 : 1));
+}
+
 std::size_t
 ServingState::Daemons() const
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -15,6 +15,7 @@
 #include "coord/PeerTable.h"
 #include "coord/Placement.h"
 #include "coord/PrefixMemory.h"
+#include "coord/QuotaExchange.h"
 #include "coord/RateMeter.h"
 #include "coord/RetryWindow.h"
 #include "coord/TeamQuotas.h"
@@ -55,7 +56,8 @@
   [[nodiscard]] std::size_t Daemons() const;
   /** Whether this daemon reads the store for the others too. */
   [[nodiscard]] bool ReadsForAll() const;
-  /** Takes from the teams' limits what the other daemons have let through. */
+  /** Brings the teams' limits up to date with what the other daemons have said
+   * of them. */
   void CountQuotaUse(TimePoint aNow);
 
   ServingSettings settings;
@@ -76,6 +78,7 @@
   PrefixMemory prefixes;
   RetryWindow retries;
   TeamQuotas quotas;
+  QuotaExchange quotaExchange;
   UsageWindows usage;
   std::map<ServiceId, RateMeter> promptRates; // tokens sent to be read
   FactSet facts;
@@ -91,12 +94,20 @@
   std::function<
     void(const InstanceId&, std::int64_t aTokens, const std::string& aPart)>
     tellSent = [](const InstanceId&, std::int64_t, const std::string&) {};
+  /** Tells the other daemons at once what was let through for a team. */
+  std::function<void(const TeamId&)> tellQuota = [](const TeamId&) {};
   /** Tells the other daemons what was just read in the store. */
   std::function<void(const serving::StoreWord&)> tellStore =
     [](const serving::StoreWord&) {};
   Random random; // for what must not happen at all daemons alike
   bool stopping = false;
   std::size_t inProgress = 0; // callers' requests
+
+private:
+  /** Part of the limits that this daemon gives out, when it has changed. */
+  void LogLimitsPart(double aPart);
+
+  double loggedLimitsPart = 1;
 };
 
 } // namespace toucanshed
--- a/test/correctness/TeamQuotasTest.cpp
+++ b/test/correctness/TeamQuotasTest.cpp
@@ -1,177 +1,189 @@
-#include "coord/TeamQuotas.h"
-#include "coord/Catalog.h"
-#include "coord/PeerTable.h"
+#include "test/QuotaWorld.h"
 
 #include <catch2/catch.hpp>
 
 namespace toucanshed::test {
 namespace {
 
-constexpr double kRate = 1000;
-constexpr double kBurst = 1000;
-constexpr std::size_t kNobody = 99; // no daemon is cut off
+constexpr double kRate = 7000;   // of a team, each second and for each daemon
+constexpr double kLarge = 17000; // a long prompt: more than a daemon's part
+constexpr WordLoss kCalmNet{ 0.001, Millis(3) };
+constexpr WordLoss kBadNet{ 0.1, Millis(60) };
+constexpr double kWithin = 0.55; // of its limit, a team's usual demand
+constexpr double kFlood = 3;
 
-Catalog
-OneTeam()
+/** What a team may be refused while it stays within its limit: as good as
+ * nothing. */
+constexpr double kFalselyRefused = 0.01;
+
+QuotaLoad
+LoadOf(std::size_t aDaemons, double aShare, double aCost = kLarge)
 {
-  Team team;
-  team.id = TeamId{ "team-one" };
-  team.ratePerSecond = kRate;
-  team.burst = kBurst;
-  Catalog catalog;
-  catalog.teams.push_back(team);
-  return catalog;
+  return QuotaLoad{ aShare * kRate * static_cast<double>(aDaemons), aCost };
 }
 
-/** Daemons that exchange words every 150 ms of logical time. */
-struct QuotaWorld
+QuotaWorld
+WorldOf(std::size_t aDaemons, WordLoss aLoss)
 {
-  explicit QuotaWorld(std::size_t aDaemons)
-    : catalog(OneTeam())
-    , quotas(aDaemons, TeamQuotas(QuotaTolerance{}))
-    , peers(aDaemons, PeerTable(DaemonId{ "nobody" }))
-  {
-    for (TeamQuotas& quota : this->quotas) {
-      quota.Configure(this->catalog, this->now);
-    }
-    this->Exchange(kNobody);
-  }
+  QuotaWorld world(aDaemons, kRate * static_cast<double>(aDaemons), aLoss);
+  world.Play(Millis(10000), QuotaLoad{});
+  return world;
+}
 
-  void Exchange(std::size_t aCutOff)
-  {
-    for (std::size_t i = 0; i < this->quotas.size(); ++i) {
-      for (std::size_t j = 0; j < this->quotas.size(); ++j) {
-        const bool reached = i != j && i != aCutOff && j != aCutOff;
-        if (reached) {
-          this->Tell(i, j);
-        }
-      }
-    }
-    for (std::size_t i = 0; i < this->quotas.size(); ++i) {
-      this->CountOthers(i);
-    }
+double
+RefusedPart(const QuotaWorld& aWorld)
+{
+  return 1 - aWorld.Counts().passed / aWorld.Counts().asked;
+}
+
+} // namespace
+
+TEST_CASE("a team below its limit is never refused, however large its requests")
+{
+  // Each request is more than twice a daemon's equal part of the burst.
+  for (const std::size_t daemons : { 6U, 83U, 330U }) {
+    QuotaWorld world = WorldOf(daemons, kCalmNet);
+    world.Play(Millis(12000), LoadOf(daemons, kWithin));
+    CAPTURE(daemons);
+    CHECK(RefusedPart(world) <= kFalselyRefused);
   }
+}
 
-  void CountOthers(std::size_t aAt)
-  {
-    for (const auto& [team, taken] : this->peers[aAt].TakeQuotaUse(this->now)) {
-      this->quotas[aAt].TakenElsewhere(team, taken, this->now);
-    }
+TEST_CASE("a flood passes what the limit allows and little more")
+{
+  for (const std::size_t daemons : { 6U, 83U, 330U }) {
+    QuotaWorld world = WorldOf(daemons, kCalmNet);
+    world.Play(Millis(9000), LoadOf(daemons, kFlood, 2000));
+    CAPTURE(daemons);
+    CHECK(world.Counts().mostInWindow <= world.Allowed());
+    CHECK(world.Counts().mostInWindow >= world.Allowed() * 0.85);
   }
+}
 
-  void Tell(std::size_t aFrom, std::size_t aTo)
-  {
-    serving::DaemonWord word;
-    word.set_id("daemon-" + std::to_string(aFrom));
-    word.set_life(1);
-    word.set_sequence(static_cast<std::uint64_t>(this->now.ms));
-    for (const auto& [team, taken] : this->quotas[aFrom].Taken()) {
-      auto* entry = word.add_teams();
-      entry->set_team(team.value);
-      entry->set_taken(taken);
-    }
-    this->peers[aTo].Hear(word, this->now);
+TEST_CASE("daemons all killed in a flood do not give the limit out again")
+{
+  // A team floods and its limit holds it. All daemons are killed at once and
+  // come back within a second, none knowing what was let through before, while
+  // a tenth of their words are lost and others come late. Each giving out the
+  // burst, or the whole refill until it hears the others, lets the team through
+  // many times over.
+  for (const std::size_t daemons : { 6U, 83U, 330U }) {
+    QuotaWorld world = WorldOf(daemons, kBadNet);
+    world.Play(Millis(4000), LoadOf(daemons, kFlood));
+    world.KillAll(Millis(300), Millis(500));
+    world.Play(Millis(8000), LoadOf(daemons, kFlood));
+    CAPTURE(daemons);
+    CHECK(world.Counts().mostInWindow <= world.Allowed());
   }
+}
 
-  /** Each daemon is asked for aCost by turns every aEvery.
-   * \return what all let through together. */
-  double Play(Millis aFor, Millis aEvery, double aCost, std::size_t aCutOff)
-  {
-    constexpr Millis kWord{ 150 };
-    double passed = 0;
-    std::size_t turn = 0;
-    const TimePoint end = this->now + aFor;
-    TimePoint nextWord = this->now + kWord;
-    TimePoint nextRequest = this->now + aEvery;
-    while (this->now < end) {
-      this->now = std::min(nextWord, nextRequest);
-      if (this->now == nextWord) {
-        nextWord = nextWord + kWord;
-        this->Exchange(aCutOff);
-        continue;
-      }
-      nextRequest = nextRequest + aEvery;
-      const std::size_t at = turn++ % this->quotas.size();
-      TeamQuotas& quota = this->quotas[at];
-      this->CountOthers(at);
-      if (!quota.Take(this->catalog.teams[0], aCost, this->now)) {
-        passed += aCost;
-      }
+TEST_CASE("daemons all killed again and again keep to the limit")
+{
+  for (const std::size_t daemons : { 6U, 83U }) {
+    QuotaWorld world = WorldOf(daemons, kBadNet);
+    world.Play(Millis(3000), LoadOf(daemons, kFlood));
+    for (int round = 0; round < 3; ++round) {
+      world.KillAll(Millis(300), Millis(500));
+      world.Play(Millis(2500), LoadOf(daemons, kFlood));
     }
-    return passed;
+    CAPTURE(daemons);
+    CHECK(world.Counts().mostInWindow <= world.Allowed());
   }
+}
 
-  Catalog catalog;
-  TimePoint now{ 1000 };
-  std::vector<TeamQuotas> quotas;
-  std::vector<PeerTable> peers;
-};
-
-} // namespace
-
-TEST_CASE("a team below its limit is never refused, however large its requests")
+TEST_CASE("a team below its limit is served soon after all daemons were killed")
 {
-  // Seven daemons; the team asks nine tenths of its limit in pieces of 300,
-  // each more than twice the seventh part of its burst.
-  QuotaWorld world(7);
-  const double cost = 300;
-  const auto every =
-    Millis(static_cast<std::int64_t>(cost / (0.9 * kRate) * 1000));
-  const Millis time{ 30000 };
-  const double passed = world.Play(time, every, cost, kNobody);
-  const auto asked = static_cast<double>(time / every) * cost;
-  CHECK(passed >= asked - cost);
+  // The buckets begin empty, so the first requests may be refused. The refill
+  // of a second ends that, once each daemon has said its first regular word and
+  // the others need not guess how much it lets through.
+  for (const std::size_t daemons : { 6U, 83U, 330U }) {
+    QuotaWorld world = WorldOf(daemons, kCalmNet);
+    world.Play(Millis(4000), LoadOf(daemons, kWithin));
+    world.KillAll(Millis(300), Millis(500));
+    world.Play(Millis(1800) + world.Interval(), LoadOf(daemons, kWithin));
+    world.ResetCounts();
+    world.Play(Millis(6000), LoadOf(daemons, kWithin));
+    CAPTURE(daemons);
+    CHECK(RefusedPart(world) <= kFalselyRefused);
+  }
 }
 
-TEST_CASE("a flood passes what the limit allows and little more")
+TEST_CASE("a daemon that starts again takes the level that others tell")
 {
-  QuotaWorld world(7);
-  const double passed = world.Play(Millis(8000), Millis(5), 100, kNobody);
-  const double allowed = kRate * 8 + kBurst;
-  CHECK(passed <= allowed * 1.1);
-  CHECK(passed >= allowed * 0.85);
+  // One daemon of seven is killed again and again; its team, within its limit,
+  // must not be refused for that, as it would be by an empty bucket.
+  QuotaWorld world = WorldOf(7, kCalmNet);
+  for (int round = 0; round < 6; ++round) {
+    world.Kill(3, Millis(400));
+    world.Play(Millis(1500), LoadOf(7, kWithin));
+  }
+  CHECK(RefusedPart(world) <= kFalselyRefused);
 }
 
-TEST_CASE("a daemon that is cut off keeps to its last part")
+TEST_CASE("two groups of daemons that are cut apart keep to the limit together")
 {
-  // Two seconds into a flood one daemon hears nobody any more, and nobody
-  // hears it. It must not take the whole limit for itself, since the others
-  // serve on; they in turn go on counting it for some seconds.
-  QuotaWorld world(7);
-  world.Play(Millis(4000), Millis(5), 50, kNobody);
-  const double passed = world.Play(Millis(5000), Millis(5), 50, 3);
-  CHECK(passed <= (kRate * 5 + kBurst) * 1.1);
-  // The frozen guesses are off by what their averages were off when the words
-  // stopped, at this demand by up to a third.
-  CHECK(passed >= kRate * 5 * 0.6);
+  // Three of seven daemons and the other four hear only each other, in a flood.
+  // Each group giving out the whole limit would let twice as much through.
+  QuotaWorld world = WorldOf(7, kCalmNet);
+  world.Play(Millis(6000), LoadOf(7, kFlood));
+  world.CutOff({ 0, 1, 2 }, false);
+  world.Play(Millis(5000), LoadOf(7, kFlood));
+  CHECK(world.Counts().mostInWindow <= world.Allowed());
 }
 
-TEST_CASE("daemons that all start again do not give a team's burst out again")
+TEST_CASE("a daemon without the store and the others keeps to its part")
 {
-  // A team floods and its limit holds it. All daemons are killed and start with
-  // new buckets; the team must not get the burst a second time on top of what
-  // it has had within the same window.
-  QuotaWorld before(7);
-  const double first = before.Play(Millis(4000), Millis(5), 50, kNobody);
-  QuotaWorld after(7);
-  const double second = after.Play(Millis(4000), Millis(5), 50, kNobody);
-  CHECK(first + second <= (kRate * 8 + kBurst) * 1.1);
+  // It cannot know whether the others are gone or only cut off from it, however
+  // long that lasts; its callers may go on asking it.
+  QuotaWorld world = WorldOf(7, kCalmNet);
+  world.Play(Millis(4000), LoadOf(7, kFlood));
+  world.CutOff({ 3 }, true);
+  world.Play(Millis(30000), LoadOf(7, kFlood));
+  // After six seconds the others give out its part as well.
+  CHECK(world.Counts().mostInWindow <= world.Allowed() * 8 / 7);
+  world.ResetCounts();
+  world.Play(Millis(9000), LoadOf(7, kFlood));
+  CHECK(world.Counts().mostInWindow >= world.Allowed() * 0.8);
 }
 
 TEST_CASE("a daemon that starts again counts from its start")
 {
-  QuotaWorld world(2);
-  world.Play(Millis(3000), Millis(10), 50, kNobody);
-  serving::DaemonWord word;
+  QuotaExchange exchange(DaemonId{ "daemon-0" });
+  serving::QuotaWord word;
   word.set_id("daemon-1");
+  word.set_life(1);
+  serving::TeamWord* team = word.add_teams();
+  team->set_team("team-one");
+  team->set_taken(500);
+  exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
+  exchange.TakeUse(TimePoint{ 1000 });
   word.set_life(2);
-  word.set_sequence(1);
-  auto* entry = word.add_teams();
-  entry->set_team("team-one");
-  entry->set_taken(70);
-  world.peers[0].Hear(word, world.now);
-  const auto news = world.peers[0].TakeQuotaUse(world.now);
+  team->set_taken(70);
+  exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1300 });
+  const auto news = exchange.TakeUse(TimePoint{ 1300 });
   CHECK(news.at(TeamId{ "team-one" }) == Approx(70));
 }
 
+TEST_CASE("a quota word that comes late takes nothing back")
+{
+  QuotaExchange exchange(DaemonId{ "daemon-0" });
+  serving::QuotaWord word;
+  word.set_id("daemon-1");
+  word.set_life(1);
+  serving::TeamWord* team = word.add_teams();
+  team->set_team("team-one");
+  team->set_taken(500);
+  exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
+  team->set_taken(300);
+  exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
+  const auto news = exchange.TakeUse(TimePoint{ 1000 });
+  CHECK(news.at(TeamId{ "team-one" }) == Approx(500));
+}
+
+TEST_CASE("before a daemon knows the others it gives nothing out")
+{
+  const QuotaExchange exchange(DaemonId{ "daemon-0" });
+  CHECK(exchange.HeardPart(TimePoint{ 1000 }, Millis(1500), true) == 0);
+}
+
 } // namespace toucanshed::test
