On-demand engines are ordered ahead of the next reclaims

Ruled out: refused orders of on-demand engines (none were refused); a slow cloud.

Change: ReclaimWatch counts the domains reclaimed lately; as many are taken to follow, the largest ones, and on-demand engines are ordered so that 0.7 of the needed ones are left then.

--- /dev/null
+++ b/src/coord/ReclaimWatch.cpp
@@ -0,0 +1,33 @@
+#include "ReclaimWatch.h"
+
+namespace toucanshed {
+
+void
+ReclaimWatch::See(const ZoneId& aZone,
+                  unsigned aStaying,
+                  unsigned aLeaving,
+                  TimePoint aNow)
+{
+  Domain& domain = this->domains[aZone];
+  const bool leaving = aStaying == 0 && aLeaving > 0;
+  const bool begins = leaving && !domain.leaving;
+  domain.leaving = leaving;
+  if (begins) {
+    domain.reclaimedAt = aNow;
+    domain.everReclaimed = true;
+  }
+}
+
+unsigned
+ReclaimWatch::Lately(TimePoint aNow) const
+{
+  unsigned count = 0;
+  for (const auto& [zone, domain] : this->domains) {
+    const bool lately =
+      domain.everReclaimed && aNow - domain.reclaimedAt <= kRemembered;
+    count += lately ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace toucanshed
--- /dev/null
+++ b/src/coord/ReclaimWatch.h
@@ -0,0 +1,45 @@
+/** \file
+ * How many failure domains may lose their reclaimable engines next.
+ */
+#pragma once
+
+#include "base/Types.h"
+
+#include <map>
+
+namespace toucanshed {
+
+/**
+ * Reclaims come in rows: where one failure domain has just lost its reclaimable
+ * engines, others often follow within seconds, and none are to be had
+ * meanwhile. As many as were reclaimed lately are taken to be at risk still.
+ *
+ * Thread safety: none; the owner serialises.
+ */
+class ReclaimWatch
+{
+public:
+  /** A reclaim counts for this long. */
+  static constexpr Millis kRemembered{ 12000 };
+
+  /** Notes a failure domain's reclaimable engines. All of them leaving together
+   * is a reclaim; an order of ours leaves at least one. */
+  void See(const ZoneId& aZone,
+           unsigned aStaying,
+           unsigned aLeaving,
+           TimePoint aNow);
+  /** Failure domains reclaimed lately. */
+  [[nodiscard]] unsigned Lately(TimePoint aNow) const;
+
+private:
+  struct Domain
+  {
+    bool leaving = false;
+    TimePoint reclaimedAt;
+    bool everReclaimed = false;
+  };
+
+  std::map<ZoneId, Domain> domains;
+};
+
+} // namespace toucanshed
--- a/src/coord/ScalePlanner.cpp
+++ b/src/coord/ScalePlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace toucanshed {
 
@@ -16,6 +17,10 @@
  * ones as many when two are. Against 0.34 on demand and 1.4 reclaimable this
  * bought 0.012 of a day's worth, as the mean of twelve days. */
 constexpr double kReclaimablePart = 1.6;
+/** Part of the needed engines that suffices for some seconds: they are needed
+ * so that prompts rarely meet, and bear more while these wait for each other.
+ */
+constexpr double kSuffices = 0.7;
 /** An order is given again after this long if its engines have not come. */
 constexpr Millis kOrderAgain{ 9000 };
 
@@ -67,10 +72,14 @@
 {
   ZoneCounts counts;
   for (const auto& [id, backend] : aBackends.All()) {
-    if (backend.entry.service != aService || backend.leaving) {
+    if (backend.entry.service != aService) {
       continue;
     }
     Counts& zone = counts[backend.entry.zone];
+    if (backend.leaving) {
+      zone.reclaimed += backend.entry.reclaimable ? 1 : 0;
+      continue;
+    }
     if (backend.entry.reclaimable) {
       ++zone.reclaimable;
     } else {
@@ -133,15 +142,49 @@
   return std::max({ aNeeded, first, kLeast });
 }
 
+void
+ScalePlanner::WatchReclaims(const ServiceId& aService,
+                            const ZoneCounts& aPresent,
+                            TimePoint aNow)
+{
+  ReclaimWatch& reclaims = this->services[aService].reclaims;
+  for (const auto& [zone, counts] : aPresent) {
+    reclaims.See(zone, counts.reclaimable, counts.reclaimed, aNow);
+  }
+}
+
+double
+ScalePlanner::OnDemandAtRisk(double aNeeded,
+                             unsigned aReclaims,
+                             const ZoneCounts& aPresent)
+{
+  if (aReclaims == 0) {
+    return 0;
+  }
+  std::vector<unsigned> domains;
+  for (const auto& [zone, counts] : aPresent) {
+    domains.push_back(counts.reclaimable);
+  }
+  std::sort(domains.begin(), domains.end());
+  const std::size_t safe =
+    domains.size() > aReclaims ? domains.size() - aReclaims : 0;
+  // The smallest are taken to stay: the loss of the largest is to be borne.
+  const double left = std::accumulate(
+    domains.begin(), domains.begin() + static_cast<std::ptrdiff_t>(safe), 0.0);
+  return kSuffices * aNeeded - left;
+}
+
 void
 ScalePlanner::Watch(const ServiceId& aService,
                     const BackendTable& aBackends,
                     TimePoint aNow)
 {
   unsigned present = 0;
-  for (const auto& [zone, counts] : CountEngines(aService, aBackends)) {
+  const ZoneCounts zones = CountEngines(aService, aBackends);
+  for (const auto& [zone, counts] : zones) {
     present += counts.reclaimable + counts.onDemand;
   }
+  this->WatchReclaims(aService, zones, aNow);
   this->StillAppearing(aService, present, aNow);
 }
 
@@ -176,6 +219,11 @@
   const auto missing = static_cast<unsigned>(
     std::max(0.0, std::ceil(needed - presentReclaimable - onDemand)));
   onDemand += missing;
+  this->WatchReclaims(aService.id, present, aNow);
+  const unsigned reclaims = this->services[aService.id].reclaims.Lately(aNow);
+  const double atRisk = OnDemandAtRisk(needed, reclaims, present);
+  onDemand =
+    std::max(onDemand, static_cast<unsigned>(std::max(0.0, std::ceil(atRisk))));
   const auto wantedReclaimable = Spread(reclaimable, zones, bounds.most - 1);
   const auto wantedOnDemand =
     Spread(onDemand, zones, std::max(1U, bounds.most / 2));
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -5,6 +5,7 @@
 
 #include "BackendTable.h"
 #include "Catalog.h"
+#include "ReclaimWatch.h"
 
 #include <compare>
 #include <map>
@@ -44,7 +45,9 @@
  * Therefore the work is borne by reclaimable engines, spread over all failure
  * domains so that one's loss leaves enough, beside a few on-demand engines in
  * the cheapest one. On-demand engines are ordered beyond that only for as long
- * as reclaimable ones are refused and too few are left.
+ * as reclaimable ones are refused and too few are left, and while further
+ * failure domains may be reclaimed: an engine that is ordered when the last of
+ * them goes comes seconds too late.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -109,22 +112,32 @@
     TimePoint grewAt; // more engines were seen than before
     bool hasOrders = false;
     TimePoint refusedUntil; // reclaimable ones
+    ReclaimWatch reclaims;
   };
   struct Counts
   {
     unsigned onDemand = 0;
     unsigned reclaimable = 0;
+    unsigned reclaimed = 0; // reclaimable ones that are leaving
   };
 
   using ZoneCounts = std::map<ZoneId, Counts>;
   static ZoneCounts CountEngines(const ServiceId& aService,
                                  const BackendTable& aBackends);
+  /** On-demand engines that a service must have lest too few engines are left
+   * if as many failure domains are reclaimed again as were lately. */
+  static double OnDemandAtRisk(double aNeeded,
+                               unsigned aReclaims,
+                               const ZoneCounts& aPresent);
   void Want(const EngineGroup& aGroup,
             unsigned aDesired,
             unsigned aPresent,
             TimePoint aNow,
             std::vector<GroupOrder>& aOrders);
 
+  void WatchReclaims(const ServiceId& aService,
+                     const ZoneCounts& aPresent,
+                     TimePoint aNow);
   /** Notes how many engines there are. \return whether more may appear yet. */
   bool StillAppearing(const ServiceId& aService,
                       unsigned aPresent,
--- a/test/correctness/ScalePlannerTest.cpp
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -202,4 +202,33 @@
   CHECK(world.Play(8, 40) == 0);
 }
 
+TEST_CASE("a row of reclaims finds on-demand engines there already")
+{
+  // All failure domains are reclaimed, two seconds apart, and no reclaimable
+  // engine is to be had. Engines take four seconds to come: those that are
+  // ordered when the last ones go leave some seconds in which every request
+  // waits. As many domains as have gone are taken to follow.
+  constexpr double kNeeded = 10;
+  constexpr double kSuffices = 0.7;
+  ScaleWorld world;
+  world.Add("b", false, 8);
+  world.Play(kNeeded, 60);
+  world.Reclaim("a");
+  world.Play(kNeeded, 2, true);
+  world.Reclaim("b");
+  world.Play(kNeeded, 1, true);
+  CHECK(world.Count("", false) >= kSuffices * kNeeded);
+}
+
+TEST_CASE("one reclaim alone orders no more than its loss asks for")
+{
+  ScaleWorld world;
+  world.Add("b", false, 8);
+  world.Play(10, 60);
+  const unsigned before = world.Count("", false);
+  world.Reclaim("a");
+  world.Play(10, 2, true);
+  CHECK(world.Count("", false) <= before + 1);
+}
+
 } // namespace toucanshed::test
