toucanshed report: every request that was late, refused or failed, and why

From the daemons' log files alone: counts by route, team, failure domain and two seconds, one word for the reason, first token expected and seen, engines present, leaving and ordered, tokens ahead, shared tokens read again; one HTML page with SVG plots and the same as JSON. Lines that cannot be read are named by file and number.

request.ended now says what was expected at the last send, the tokens ahead of it, the targets, and the part that its prompt shares; backend.listed says whether it can be reclaimed. No further lines, so the volume stays bounded as it was.

--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -1,6 +1,9 @@
 #include "Commands.h"
 
 #include "Client.h"
+#include "Report.h"
+#include "ReportJson.h"
+#include "ReportPage.h"
 #include "StatusView.h"
 #include "Timeline.h"
 #include "coord/Document.h"
@@ -9,6 +12,7 @@
 #include "records.pb.h"
 
 #include <boost/json.hpp>
+#include <filesystem>
 #include <fstream>
 #include <google/protobuf/util/json_util.h>
 #include <iostream>
@@ -189,6 +193,39 @@
   return ExitCode::eOk;
 }
 
+ExitCode
+RunReport(const std::vector<std::string>& aFiles, const std::string& aFolder)
+{
+  ReportEvents events;
+  for (const std::string& path : aFiles) {
+    std::ifstream file(path);
+    ReadReportEvents(path, file, events);
+  }
+  const Report report = MakeReport(events);
+  std::error_code error;
+  std::filesystem::create_directories(aFolder, error);
+  const std::filesystem::path folder(aFolder);
+  std::ofstream page(folder / "report.html");
+  page << RenderReportPage(report);
+  std::ofstream data(folder / "report.json");
+  data << RenderReportJson(report);
+  if (!page.flush() || !data.flush()) {
+    std::cerr << "toucanshed: cannot write to " << aFolder << "\n";
+    return ExitCode::eUsage;
+  }
+  std::cout << report.all.asked << " requests from " << report.lines
+            << " events, " << report.all.onTime << " on time, "
+            << report.bad.size()
+            << " lines unreadable: " << (folder / "report.html").string()
+            << "\n";
+  for (const BadLine& bad : report.bad) {
+    if (bad.line == 0) {
+      std::cerr << "toucanshed: " << bad.file << ": " << bad.reason << "\n";
+    }
+  }
+  return report.lines == 0 ? ExitCode::eMistakes : ExitCode::eOk;
+}
+
 ExitCode
 RunTimeline(const std::vector<std::string>& aDaemons,
             const std::vector<std::string>& aFiles,
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -43,6 +43,11 @@
 ExitCode
 RunMoves(const std::string& aDaemon);
 
+/** Writes report.html and report.json from log files into a folder, which is
+ * made if it is missing. */
+ExitCode
+RunReport(const std::vector<std::string>& aFiles, const std::string& aFolder);
+
 /** Events of daemons (IP:PORT) and of log files. */
 ExitCode
 RunTimeline(const std::vector<std::string>& aDaemons,
--- /dev/null
+++ b/src/cli/ReportPage.h
@@ -0,0 +1,17 @@
+/** \file
+ * A report as one HTML page with plots, for people.
+ */
+#pragma once
+
+#include <string>
+
+namespace toucanshed {
+
+struct Report;
+
+/** One page without scripts or anything from the network.
+ * Thread safety: pure. */
+std::string
+RenderReportPage(const Report& aReport);
+
+} // namespace toucanshed
--- a/src/cli/main/main.cpp
+++ b/src/cli/main/main.cpp
@@ -19,6 +19,8 @@
   "  status                    what one daemon sees\n"
   "  moves                     moves between versions\n"
   "  timeline                  events of all processes, in causal order\n"
+  "  report FILE... --out DIR  which requests were not served on time, and "
+  "why\n"
   "  version                   print the version\n"
   "`toucanshed COMMAND --help` lists a command's options. Exit codes: 0 done,\n"
   "2 wrong command line, 3 a file has mistakes, 4 refused as another change\n"
@@ -43,7 +45,9 @@
   if (aCommand == "check") {
     add("settings", "the file holds a daemon's settings");
   }
-  if (aCommand != "check" && aCommand != "timeline") {
+  const bool asksDaemon =
+    aCommand != "check" && aCommand != "timeline" && aCommand != "report";
+  if (asksDaemon) {
     add("daemon",
         "operator port of a daemon, IP:PORT",
         cxxopts::value<std::string>()->default_value(kDefaultDaemon));
@@ -57,6 +61,12 @@
         "who asks, for the record",
         cxxopts::value<std::string>()->default_value("operator"));
   }
+  if (aCommand == "report") {
+    add("files", "log files of the daemons", cxxopts::value<Words>());
+    add("out", "folder to write to", cxxopts::value<std::string>());
+    options.parse_positional({ "files" });
+    options.positional_help("FILE...");
+  }
   if (aCommand == "timeline") {
     add("daemons",
         "operator ports, by commas",
@@ -85,12 +95,26 @@
   return RunTimeline(daemons, files, WordsOf(aGiven, "follow"));
 }
 
+ExitCode
+RunReportCommand(const cxxopts::ParseResult& aGiven)
+{
+  const Words files = WordsOf(aGiven, "files");
+  if (files.empty() || aGiven.count("out") == 0) {
+    std::cerr << "toucanshed: FILE... and --out DIR are expected\n";
+    return ExitCode::eUsage;
+  }
+  return RunReport(files, aGiven["out"].as<std::string>());
+}
+
 ExitCode
 Run(const std::string& aCommand, const cxxopts::ParseResult& aGiven)
 {
   if (aCommand == "timeline") {
     return RunTimelineCommand(aGiven);
   }
+  if (aCommand == "report") {
+    return RunReportCommand(aGiven);
+  }
   if (aCommand == "status") {
     return RunStatus(aGiven["daemon"].as<std::string>());
   }
@@ -130,9 +154,8 @@
     std::cout << "toucanshed " << kProgramVersion << "\n";
     return ExitCode::eOk;
   }
-  const std::vector<std::string> known{
-    "check", "apply", "status", "moves", "timeline"
-  };
+  const std::vector<std::string> known{ "check", "apply",    "status",
+                                        "moves", "timeline", "report" };
   if (std::find(known.begin(), known.end(), command) == known.end()) {
     std::cerr << "toucanshed: no command \"" << command << "\"\n" << kUsage;
     return ExitCode::eUsage;
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -56,6 +56,8 @@
   return home;
 }
 
+} // namespace
+
 std::uint64_t
 TokensOf(const std::vector<PromptPart>& aPrompt)
 {
@@ -66,7 +68,11 @@
   return tokens;
 }
 
-} // namespace
+std::uint64_t
+OwnTokensOf(const std::vector<PromptPart>& aPrompt)
+{
+  return aPrompt.empty() ? 0 : aPrompt.back().tokens;
+}
 
 std::string
 SharedPartOf(const std::vector<PromptPart>& aPrompt)
@@ -106,8 +112,7 @@
     return std::nullopt;
   }
   const std::uint64_t all = TokensOf(aRequest.prompt);
-  const std::uint64_t own =
-    aRequest.prompt.empty() ? 0 : aRequest.prompt.back().tokens;
+  const std::uint64_t own = OwnTokensOf(aRequest.prompt);
   const std::vector<InstanceId>& holders = aRequest.holders;
   const std::string shared = SharedPartOf(aRequest.prompt);
   InstanceId home;
--- a/src/coord/Placement.h
+++ b/src/coord/Placement.h
@@ -47,6 +47,13 @@
   bool queued = false;
 };
 
+std::uint64_t
+TokensOf(const std::vector<PromptPart>& aPrompt);
+
+/** Tokens that no other request brings. */
+std::uint64_t
+OwnTokensOf(const std::vector<PromptPart>& aPrompt);
+
 /** The last part that other requests may share; empty when there is none. */
 std::string
 SharedPartOf(const std::vector<PromptPart>& aPrompt);
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -15,6 +15,7 @@
                     .With("service", aEntry.service)
                     .With("address", aEntry.address)
                     .With("zone", aEntry.zone)
+                    .With("reclaimable", aEntry.reclaimable ? 1 : 0)
                     .With("version", aEntry.version));
 }
 
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -201,7 +201,7 @@
     co_return SendOutcome::eNotRun;
   }
   ++this->sends;
-  this->lastBackend = aPlacement.backend;
+  this->lastPlacement = aPlacement;
   this->sentAt = ServingState::Now();
   this->beganHere = false;
   this->failedAnswer = false;
@@ -365,6 +365,9 @@
   const Millis first = this->firstEventAt.ms == 0
                          ? Millis(0)
                          : this->firstEventAt - this->request.arrived;
+  const Placement sent = this->lastPlacement.value_or(Placement{});
+  const std::uint64_t prompt = TokensOf(this->request.incoming.prompt);
+  const std::uint64_t own = OwnTokensOf(this->request.incoming.prompt);
   this->state.metrics.Count("toucanshed_requests_total",
                             "status=\"" + std::to_string(aStatus) + "\"");
   this->state.log.Emit(
@@ -375,12 +378,19 @@
             this->request.team != nullptr ? this->request.team->id.value : "")
       .With("tokens", this->request.incoming.promptTokens)
       .With("most_output", this->request.incoming.mostOutputTokens)
-      .With("backend", this->lastBackend)
+      .With("backend", sent.backend)
       .With("status", aStatus)
       .With("why", aReason)
       .With("sends", this->sends)
       .With("first_ms", first.count())
+      .With("target_ms", this->request.route->target.count())
+      .With("expected_ms", static_cast<std::int64_t>(sent.expectedMs))
+      .With("ahead_tokens", sent.aheadTokens)
+      .With("shared_part", SharedPartOf(this->request.incoming.prompt))
+      .With("shared_tokens", prompt - own)
+      .With("shared_read", sent.uncachedTokens > own ? 1 : 0)
       .With("gap_ms", this->longestGap.count())
+      .With("gap_target_ms", this->request.route->gapTarget.count())
       .With("ms", (now - this->request.arrived).count())
       .With("events", this->splitter.Given())
       .With("catalog", this->request.catalog->version));
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -77,7 +77,7 @@
   std::shared_ptr<CallAbort> abort = std::make_shared<CallAbort>();
   EventSplitter splitter;
   std::set<InstanceId> passedOver;
-  InstanceId lastBackend;
+  std::optional<Placement> lastPlacement;
   BackendUse* use = nullptr; // of the current send
   unsigned sends = 0;
   unsigned runs = 0; // sends after which it may have run
