What would begin late stands back for what can begin on time

Cause, by the report: while engines are missing every prompt is sent on at once, and all wait behind each other; 87 of 255 requests of two seconds began on time, though the engines that were left could read about half. The time to begin was known beforehand.

Change: LateWork.

--- /dev/null
+++ b/src/coord/LateWork.cpp
@@ -0,0 +1,25 @@
+#include "LateWork.h"
+
+#include <algorithm>
+
+namespace toucanshed {
+
+SendAdvice
+LateWork::Advise(const SendChance& aChance)
+{
+  const auto waited = static_cast<double>(aChance.waited.count());
+  const auto target = static_cast<double>(aChance.target.count());
+  const auto left = static_cast<double>(aChance.left.count());
+  if (target <= 0) {
+    return SendAdvice::eSend;
+  }
+  const double begins = waited + aChance.expectedMs;
+  if (begins <= target || aChance.expectedMs <= kNearlyFree * target) {
+    return SendAdvice::eSend;
+  }
+  const bool standsBack =
+    waited < kStandsBack * target && aChance.expectedMs < left;
+  return standsBack ? SendAdvice::eWait : SendAdvice::eRefuse;
+}
+
+} // namespace toucanshed
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -110,6 +110,20 @@
   return this->PlacerOf().Choose(backends, wanted, traits, now);
 }
 
+SendAdvice
+RequestRun::Advise(const Placement& aPlacement) const
+{
+  const bool readsPrompt = !this->request.incoming.prompt.empty();
+  if (!readsPrompt || this->sends > 0) {
+    return SendAdvice::eSend; // it has stood back before its first send
+  }
+  return LateWork::Advise(
+    SendChance{ ServingState::Now() - this->request.arrived,
+                this->request.route->target,
+                this->Left(),
+                aPlacement.expectedMs });
+}
+
 bool
 RequestRun::MaySendAgain()
 {
@@ -159,6 +173,15 @@
       this->lastWhy = "all back ends are full";
       break;
     }
+    const SendAdvice advice = this->Advise(*placement);
+    if (advice == SendAdvice::eWait) {
+      co_await Sleep(LateWork::kLook);
+      continue;
+    }
+    if (advice == SendAdvice::eRefuse) {
+      this->lastWhy = "engines have too much to read";
+      break;
+    }
     if (!this->MaySendAgain()) {
       break;
     }
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -6,6 +6,7 @@
 
 #include "ServingRequest.h"
 #include "coord/EventSplitter.h"
+#include "coord/LateWork.h"
 #include "coord/Placement.h"
 #include "edge/HttpExchange.h"
 #include "edge/HttpResponder.h"
@@ -48,6 +49,7 @@
 private:
   /** The back end to send to next; nothing when there is none. */
   std::optional<Placement> Choose();
+  [[nodiscard]] SendAdvice Advise(const Placement& aPlacement) const;
   [[nodiscard]] bool MaySendAgain();
   Task<SendOutcome> Send(Placement aPlacement);
   Task<SendOutcome> Relay(HttpExchange& aExchange, const Placement& aPlacement);
