What a silent daemon may take is kept by its part alone, not guessed as well

Cause: in the three seconds in which two daemons were cut off, 60 requests of teams within their limit were refused: their part of the limit was kept for the silent daemons, and what these were guessed to take was taken from the rest again.

Change: guesses end when a daemon is not heard any more.

--- a/src/coord/QuotaExchange.cpp
+++ b/src/coord/QuotaExchange.cpp
@@ -110,12 +110,12 @@
 }
 
 std::map<TeamId, double>
-QuotaExchange::TakeUse(TimePoint aNow)
+QuotaExchange::TakeUse(TimePoint aNow, Millis aSilent)
 {
   std::map<TeamId, double> news;
   for (auto& [id, peer] : this->peers) {
     for (auto& [team, use] : peer.uses) {
-      const Millis silent = std::min(aNow - use.wordAt, kGuessed);
+      const Millis silent = std::min(aNow - use.wordAt, aSilent);
       const double counted = use.known + use.perMs * Count(silent);
       news[team] += counted - use.counted;
       use.counted = counted;
@@ -136,7 +136,7 @@
     const Millis since = aNow - peer.heard.value_or(peer.knownSince);
     if (peer.heard && since <= aSilent) {
       ++heard;
-    } else if (since <= kGuessed) {
+    } else if (since <= kKept) {
       ++silent;
     } else {
       ++gone;
@@ -159,7 +159,7 @@
   for (const auto& [id, peer] : this->peers) {
     const auto found = peer.uses.find(aTeam);
     const bool told = found != peer.uses.end() && found->second.level &&
-                      peer.heard && aNow - *peer.heard <= kGuessed;
+                      peer.heard && aNow - *peer.heard <= kKept;
     if (told) {
       lowest =
         std::min(lowest.value_or(*found->second.level), *found->second.level);
--- a/src/coord/QuotaExchange.h
+++ b/src/coord/QuotaExchange.h
@@ -34,10 +34,9 @@
 class QuotaExchange
 {
 public:
-  /** A daemon is taken to go on letting requests through for this long after
-   * its last word, and its part of the limits is kept for it; its callers have
-   * gone elsewhere by then. */
-  static constexpr Millis kGuessed{ 6000 };
+  /** The part of a daemon that is not heard is kept for it for this long after
+   * its last word; its callers have gone elsewhere by then. */
+  static constexpr Millis kKept{ 6000 };
 
   /** A daemon that has not been heard for this long is forgotten, so that the
    * table does not grow with each machine that is replaced. */
@@ -62,9 +61,10 @@
   /** What the other daemons let through for each team since this was last
    * asked: by their words, and beyond these guessed from how they went on until
    * then. The next word makes a guess good. Without it every daemon would give
-   * out the whole refill between two words, and together many times the limit;
-   * and a daemon that is cut off from here may still serve. */
-  std::map<TeamId, double> TakeUse(TimePoint aNow);
+   * out the whole refill between two words, and together many times the limit.
+   * \param aSilent as for HeardPart: what a daemon that is not heard may take
+   *   is kept by its part, and guessed as well it would be taken twice */
+  std::map<TeamId, double> TakeUse(TimePoint aNow, Millis aSilent);
 
   /** Part of each limit that stands for this daemon and those it hears, in
    * 0..1.
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -68,8 +68,9 @@
 void
 ServingState::CountQuotaUse(TimePoint aNow)
 {
+  const Millis silent = this->peers.Silent();
   const double part =
-    this->quotaExchange.HeardPart(aNow, this->peers.Silent(), !this->storeLost);
+    this->quotaExchange.HeardPart(aNow, silent, !this->storeLost);
   this->quotas.SetPart(part, aNow);
   this->LogLimitsPart(part);
   for (const TeamId& team : this->quotas.Unsettled(aNow)) {
@@ -77,7 +78,7 @@
       this->quotas.Settle(team, *level, aNow);
     }
   }
-  for (const auto& [team, taken] : this->quotaExchange.TakeUse(aNow)) {
+  for (const auto& [team, taken] : this->quotaExchange.TakeUse(aNow, silent)) {
     this->quotas.TakenElsewhere(team, taken, aNow);
   }
 }
--- a/test/QuotaWorld.cpp
+++ b/test/QuotaWorld.cpp
@@ -169,7 +169,8 @@
       quotas.Settle(team, *level, this->now);
     }
   }
-  for (const auto& [team, taken] : aDaemon.exchange->TakeUse(this->now)) {
+  for (const auto& [team, taken] :
+       aDaemon.exchange->TakeUse(this->now, silent)) {
     quotas.TakenElsewhere(team, taken, this->now);
   }
 }
--- a/test/correctness/TeamQuotasTest.cpp
+++ b/test/correctness/TeamQuotasTest.cpp
@@ -9,6 +9,7 @@
 constexpr double kLarge = 17000; // a long prompt: more than a daemon's part
 constexpr WordLoss kCalmNet{ 0.001, Millis(3) };
 constexpr WordLoss kBadNet{ 0.1, Millis(60) };
+constexpr Millis kSilent{ 1500 };
 constexpr double kWithin = 0.55; // of its limit, a team's usual demand
 constexpr double kFlood = 3;
 
@@ -131,6 +132,20 @@
   CHECK(world.Counts().mostInWindow <= world.Allowed());
 }
 
+TEST_CASE("daemons cut off from the others serve a team below its limit")
+{
+  // Two of seven daemons hear only each other and have lost the store, and
+  // their callers go on asking them. Their part of the limit suffices for that;
+  // what the other five may take must not be taken from it as well.
+  QuotaWorld world = WorldOf(7, kCalmNet);
+  world.Play(Millis(6000), LoadOf(7, kWithin, 4000));
+  world.CutOff({ 0, 1 }, true);
+  world.Play(Millis(2000), LoadOf(7, kWithin, 4000));
+  world.ResetCounts();
+  world.Play(Millis(8000), LoadOf(7, kWithin, 4000));
+  CHECK(RefusedPart(world) <= kFalselyRefused);
+}
+
 TEST_CASE("a daemon without the store and the others keeps to its part")
 {
   // It cannot know whether the others are gone or only cut off from it, however
@@ -156,11 +171,11 @@
   team->set_team("team-one");
   team->set_taken(500);
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
-  exchange.TakeUse(TimePoint{ 1000 });
+  exchange.TakeUse(TimePoint{ 1000 }, kSilent);
   word.set_life(2);
   team->set_taken(70);
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1300 });
-  const auto news = exchange.TakeUse(TimePoint{ 1300 });
+  const auto news = exchange.TakeUse(TimePoint{ 1300 }, kSilent);
   CHECK(news.at(TeamId{ "team-one" }) == Approx(70));
 }
 
@@ -176,7 +191,7 @@
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
   team->set_taken(300);
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
-  const auto news = exchange.TakeUse(TimePoint{ 1000 });
+  const auto news = exchange.TakeUse(TimePoint{ 1000 }, kSilent);
   CHECK(news.at(TeamId{ "team-one" }) == Approx(500));
 }
 
