Daemons that hear each other again do not count what their parts were kept for

Cause: after a cut of three seconds 54 requests of teams within their limit were refused in the second in which it healed. Each side was told at once what the other had let through meanwhile, and took it from copies that had been refilled by their part only.

Change: a daemon that was not heard is counted from its first word on, like one that is settled.

--- a/src/coord/QuotaExchange.cpp
+++ b/src/coord/QuotaExchange.cpp
@@ -64,13 +64,12 @@
   Use& use = entry->second;
   use.level = aTeam.settled() ? std::optional(aTeam.level()) : std::nullopt;
   const bool firstWord = isNew && !aPeer.heard;
-  if (firstWord && aTeam.settled()) {
-    // The level that it tells, and that is taken over here, has it already.
-    use.known = aTeam.taken();
-    use.counted = aTeam.taken();
-    use.wordAt = aNow;
-    use.ratedTaken = aTeam.taken();
-    use.ratedAt = aNow;
+  // The level that a settled daemon tells, and that is taken over here, has its
+  // use already. And what one took while it was not heard, its part was kept
+  // for; counted as well, it would leave the copies of both sides empty as soon
+  // as they hear each other again, though the team is within its limit.
+  if (use.unheard || (firstWord && aTeam.settled())) {
+    CountFrom(use, aTeam.taken(), aNow);
     return;
   }
   if (isNew) {
@@ -89,6 +88,17 @@
   }
 }
 
+void
+QuotaExchange::CountFrom(Use& aUse, double aTaken, TimePoint aNow)
+{
+  aUse.known = aTaken;
+  aUse.counted = aTaken;
+  aUse.wordAt = aNow;
+  aUse.ratedTaken = aTaken;
+  aUse.ratedAt = aNow;
+  aUse.unheard = false;
+}
+
 void
 QuotaExchange::Rate(Use& aUse, TimePoint aNow)
 {
@@ -116,6 +126,7 @@
   for (auto& [id, peer] : this->peers) {
     for (auto& [team, use] : peer.uses) {
       const Millis silent = std::min(aNow - use.wordAt, aSilent);
+      use.unheard = use.unheard || (peer.heard && aNow - *peer.heard > aSilent);
       const double counted = use.known + use.perMs * Count(silent);
       news[team] += counted - use.counted;
       use.counted = counted;
--- a/src/coord/QuotaExchange.h
+++ b/src/coord/QuotaExchange.h
@@ -90,6 +90,8 @@
     TimePoint wordAt;
     double ratedTaken = 0; // the rate is known up to here
     TimePoint ratedAt;
+    bool unheard =
+      false; // since its last word, for so long that it lost its part
     std::optional<double> level;
   };
 
@@ -101,6 +103,8 @@
     std::map<TeamId, Use> uses;
   };
 
+  /** Counts from a told total on; what came before is not this daemon's. */
+  static void CountFrom(Use& aUse, double aTaken, TimePoint aNow);
   static void Rate(Use& aUse, TimePoint aNow);
   static void HearTeam(Peer& aPeer,
                        const serving::TeamWord& aTeam,
--- a/test/correctness/TeamQuotasTest.cpp
+++ b/test/correctness/TeamQuotasTest.cpp
@@ -146,6 +146,21 @@
   CHECK(RefusedPart(world) <= kFalselyRefused);
 }
 
+TEST_CASE("daemons that hear the others again serve a team below its limit")
+{
+  // While the two were cut off, the other five served the team. Told of all
+  // that at once, the two would take their copies for empty, and the five
+  // theirs.
+  QuotaWorld world = WorldOf(7, kCalmNet);
+  world.Play(Millis(6000), LoadOf(7, kWithin, 4000));
+  world.CutOff({ 0, 1 }, true);
+  world.Play(Millis(4000), LoadOf(7, kWithin, 4000));
+  world.CutOff({}, false);
+  world.ResetCounts();
+  world.Play(Millis(4000), LoadOf(7, kWithin, 4000));
+  CHECK(RefusedPart(world) <= kFalselyRefused);
+}
+
 TEST_CASE("a daemon without the store and the others keeps to its part")
 {
   // It cannot know whether the others are gone or only cut off from it, however
