A reclaim counts for as long as engines take to replace what it took

What is ordered at a reclaim is there after the boot time, so only reclaims that follow faster than that leave a gap: boot time and one second.

--- a/src/coord/ReclaimWatch.cpp
+++ b/src/coord/ReclaimWatch.cpp
@@ -19,12 +19,12 @@
 }
 
 unsigned
-ReclaimWatch::Lately(TimePoint aNow) const
+ReclaimWatch::Lately(Millis aWithin, TimePoint aNow) const
 {
   unsigned count = 0;
   for (const auto& [zone, domain] : this->domains) {
     const bool lately =
-      domain.everReclaimed && aNow - domain.reclaimedAt <= kRemembered;
+      domain.everReclaimed && aNow - domain.reclaimedAt <= aWithin;
     count += lately ? 1 : 0;
   }
   return count;
--- a/src/coord/ReclaimWatch.h
+++ b/src/coord/ReclaimWatch.h
@@ -19,17 +19,15 @@
 class ReclaimWatch
 {
 public:
-  /** A reclaim counts for this long. */
-  static constexpr Millis kRemembered{ 12000 };
-
   /** Notes a failure domain's reclaimable engines. All of them leaving together
    * is a reclaim; an order of ours leaves at least one. */
   void See(const ZoneId& aZone,
            unsigned aStaying,
            unsigned aLeaving,
            TimePoint aNow);
-  /** Failure domains reclaimed lately. */
-  [[nodiscard]] unsigned Lately(TimePoint aNow) const;
+  /** Failure domains that were reclaimed within the last aWithin. Those whose
+   * engines have been replaced since need not be counted. */
+  [[nodiscard]] unsigned Lately(Millis aWithin, TimePoint aNow) const;
 
 private:
   struct Domain
--- a/src/coord/ScalePlanner.cpp
+++ b/src/coord/ScalePlanner.cpp
@@ -21,6 +21,8 @@
  * so that prompts rarely meet, and bear more while these wait for each other.
  */
 constexpr double kSuffices = 0.7;
+/** From a reclaim's notice to the answer to an order that it leads to. */
+constexpr Millis kOrderTime{ 1000 };
 /** An order is given again after this long if its engines have not come. */
 constexpr Millis kOrderAgain{ 9000 };
 
@@ -220,7 +222,11 @@
     std::max(0.0, std::ceil(needed - presentReclaimable - onDemand)));
   onDemand += missing;
   this->WatchReclaims(aService.id, present, aNow);
-  const unsigned reclaims = this->services[aService.id].reclaims.Lately(aNow);
+  // What is ordered at a reclaim has come after that long; reclaims that are
+  // further apart are each made good before the next.
+  const Millis replacedWithin = bounds.bootTime + kOrderTime;
+  const unsigned reclaims =
+    this->services[aService.id].reclaims.Lately(replacedWithin, aNow);
   const double atRisk = OnDemandAtRisk(needed, reclaims, present);
   onDemand =
     std::max(onDemand, static_cast<unsigned>(std::max(0.0, std::ceil(atRisk))));
--- a/test/correctness/ScalePlannerTest.cpp
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -13,6 +13,7 @@
   ScaleBounds bounds;
   bounds.least = 1;
   bounds.most = 6;
+  bounds.bootTime = Millis(4000);
   bounds.reclaimablePrice = 0.18;
   bounds.zonePrices = { { ZoneId{ "a" }, 1.0 },
                         { ZoneId{ "b" }, 0.8 },
