--- a/src/cli/Report.cpp
+++ b/src/cli/Report.cpp
@@ -115,6 +115,9 @@
   if (Contains(aEnd.why, "no back end")) {
     return LossReason::eNoEngine;
   }
+  if (Contains(aEnd.why, "too much to read")) {
+    return LossReason::eBehindPrompts;
+  }
   if (Contains(aEnd.why, "full")) {
     return LossReason::eEnginesFull;
   }
