--- a/src/coord/LateWork.cpp
+++ b/src/coord/LateWork.cpp
@@ -10,7 +10,9 @@
   const auto waited = static_cast<double>(aChance.waited.count());
   const auto target = static_cast<double>(aChance.target.count());
   const auto left = static_cast<double>(aChance.left.count());
-  if (target <= 0) {
+  // An engine that was slow or failing is expected to be so again. Sent nothing
+  // for that, it could never show that it has recovered.
+  if (target <= 0 || aChance.nothingAhead) {
     return SendAdvice::eSend;
   }
   const double begins = waited + aChance.expectedMs;
--- a/src/coord/LateWork.h
+++ b/src/coord/LateWork.h
@@ -15,6 +15,8 @@
   Millis target{ 0 };    // an answer that begins later is late; 0: none
   Millis left{ 0 };      // until its caller's deadline
   double expectedMs = 0; // from a send until the answer begins
+  /** The engine has no other prompt to read. */
+  bool nothingAhead = false;
 };
 
 enum class SendAdvice
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -121,7 +121,8 @@
     SendChance{ ServingState::Now() - this->request.arrived,
                 this->request.route->target,
                 this->Left(),
-                aPlacement.expectedMs });
+                aPlacement.expectedMs,
+                aPlacement.aheadTokens == 0 });
 }
 
 bool
@@ -176,6 +177,7 @@
     const SendAdvice advice = this->Advise(*placement);
     if (advice == SendAdvice::eWait) {
       co_await Sleep(LateWork::kLook);
+      this->stoodBack += LateWork::kLook;
       continue;
     }
     if (advice == SendAdvice::eRefuse) {
@@ -405,6 +407,7 @@
       .With("status", aStatus)
       .With("why", aReason)
       .With("sends", this->sends)
+      .With("stood_back_ms", this->stoodBack.count())
       .With("first_ms", first.count())
       .With("target_ms", this->request.route->target.count())
       .With("expected_ms", static_cast<std::int64_t>(sent.expectedMs))
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -91,6 +91,7 @@
   TimePoint sentAt;          // of the current send
   TimePoint firstEventAt;    // 0 before the first event
   TimePoint lastEventAt;     // 0 before the first event
+  Millis stoodBack{ 0 };     // for requests that could begin on time
   Millis longestGap{ 0 };    // between two pieces that the caller got
   std::string lastWhy;       // why the last send failed
 };
--- a/test/correctness/LateWorkTest.cpp
+++ b/test/correctness/LateWorkTest.cpp
@@ -59,8 +59,11 @@
       const double expected = this->backlogMs + it->readingMs;
       const Millis waited = this->now - it->arrived;
       const SendAdvice advice =
-        this->standBack ? LateWork::Advise(SendChance{
-                            waited, kTarget, kDeadline - waited, expected })
+        this->standBack ? LateWork::Advise(SendChance{ waited,
+                                                       kTarget,
+                                                       kDeadline - waited,
+                                                       expected,
+                                                       this->backlogMs <= 0 })
                         : SendAdvice::eSend;
       if (advice == SendAdvice::eWait) {
         stay.push_back(*it);
@@ -110,7 +113,7 @@
 
 TEST_CASE("work that is late is sent once an engine is nearly free")
 {
-  SendChance chance{ Millis(800), Millis(600), Millis(9000), 700 };
+  SendChance chance{ Millis(800), Millis(600), Millis(9000), 700, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eWait);
   chance.expectedMs = 200;
   CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
@@ -118,17 +121,25 @@
 
 TEST_CASE("late work is refused while its caller can still come back")
 {
-  SendChance chance{ Millis(899), Millis(600), Millis(9000), 700 };
+  SendChance chance{ Millis(899), Millis(600), Millis(9000), 700, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eWait);
   chance.waited = Millis(900);
   CHECK(LateWork::Advise(chance) == SendAdvice::eRefuse);
-  chance = SendChance{ Millis(500), Millis(600), Millis(400), 700 };
+  chance = SendChance{ Millis(500), Millis(600), Millis(400), 700, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eRefuse);
 }
 
+TEST_CASE("an idle engine is sent to however slow it was")
+{
+  // A service's only engine was slow for a while and is idle now. Its answers
+  // are expected late, and only another answer can show that they are not.
+  const SendChance chance{ Millis(0), Millis(600), Millis(9000), 4000, true };
+  CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
+}
+
 TEST_CASE("a request without a target never stands back")
 {
-  const SendChance chance{ Millis(0), Millis(0), Millis(900), 5000 };
+  const SendChance chance{ Millis(0), Millis(0), Millis(900), 5000, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
 }
 
