--- a/src/coord/LateWork.cpp
+++ b/src/coord/LateWork.cpp
@@ -15,6 +15,9 @@
   if (target <= 0 || aChance.nothingAhead) {
     return SendAdvice::eSend;
   }
+  if (aChance.readingMs <= kShort * target) {
+    return SendAdvice::eSend;
+  }
   const double begins = waited + aChance.expectedMs;
   if (begins <= target || aChance.expectedMs <= kNearlyFree * target) {
     return SendAdvice::eSend;
--- a/src/coord/LateWork.h
+++ b/src/coord/LateWork.h
@@ -15,6 +15,7 @@
   Millis target{ 0 };    // an answer that begins later is late; 0: none
   Millis left{ 0 };      // until its caller's deadline
   double expectedMs = 0; // from a send until the answer begins
+  double readingMs = 0;  // of it, for the request's own prompt
   /** The engine has no other prompt to read. */
   bool nothingAhead = false;
 };
@@ -42,7 +43,10 @@
 public:
   /** An engine is nearly free when an answer would begin within this part of
    * the target. */
-  static constexpr double kNearlyFree = 0.4;
+  static constexpr double kNearlyFree = 0.6;
+  /** A prompt that is read within this part of the target makes no other late.
+   * Standing back for others would cost its caller more than it saves them. */
+  static constexpr double kShort = 0.1;
   /** A request stands back for so many times its target at most; its caller
    * must have time left to come back in. */
   static constexpr double kStandsBack = 1.5;
--- a/src/coord/TeamQuotas.cpp
+++ b/src/coord/TeamQuotas.cpp
@@ -36,10 +36,20 @@
     this->Fill(bucket, aNow);
     // What stands for daemons that are not heard any more, they may give out.
     bucket.level = std::min(bucket.level, aPart * bucket.burst);
+    const bool more = !bucket.settled && aPart > this->part;
+    if (more) {
+      bucket.level += (aPart - this->part) * FirstLevel(bucket);
+    }
   }
   this->part = aPart;
 }
 
+double
+TeamQuotas::FirstLevel(const Bucket& aBucket)
+{
+  return kFirstTolerance * aBucket.mayStray;
+}
+
 void
 TeamQuotas::Configure(const Catalog& aCatalog, TimePoint aNow)
 {
@@ -58,7 +68,7 @@
     } else {
       // A team that this daemon has seen come into being has used nothing yet.
       bucket.settled = this->configured;
-      bucket.level = this->configured ? burst : 0;
+      bucket.level = this->configured ? burst : kFirstTolerance * mayStray;
       bucket.filled = aNow;
       bucket.made = aNow;
     }
--- a/src/coord/TeamQuotas.h
+++ b/src/coord/TeamQuotas.h
@@ -43,10 +43,11 @@
  * daemon tells at once what it lets through, so that the lag stays far below
  * what may be overshot.
  *
- * A daemon that starts does not know what was let through before. Its buckets
- * begin empty, so that a team whose limit was used up does not get its burst
- * again when all daemons are killed at once, and take the level that a daemon
- * which runs longer tells.
+ * A daemon that starts does not know what was let through before. A team whose
+ * limit was used up must not get its burst again when all daemons are killed at
+ * once, so all of them together begin with what may be overshot alone, of which
+ * each has its own part and that of the daemons it hears; and a daemon takes the
+ * level that one which runs longer tells.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -55,7 +56,9 @@
 public:
   /** Part of what may be overshot that is given out on purpose, as burst; the
    * rest is for the lag of the copies. */
-  static constexpr double kUsedTolerance = 0.15;
+  static constexpr double kUsedTolerance = 0.05;
+  /** Part of what may be overshot that all daemons together begin with. */
+  static constexpr double kFirstTolerance = 0.25;
   /** Part of what may be overshot that all daemons together may have let
    * through of a bucket that runs low without having told it. */
   static constexpr double kUntoldTolerance = 0.25;
@@ -117,6 +120,7 @@
   };
 
   [[nodiscard]] bool Settled(const Bucket& aBucket, TimePoint aNow) const;
+  [[nodiscard]] static double FirstLevel(const Bucket& aBucket);
   [[nodiscard]] Use UseOf(const TeamId& aTeam) const;
   [[nodiscard]] QuotaCopy CopyOf(const TeamId& aTeam,
                                  const Bucket& aBucket,
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -111,17 +111,20 @@
 }
 
 SendAdvice
-RequestRun::Advise(const Placement& aPlacement) const
+RequestRun::Advise(const Placement& aPlacement)
 {
   const bool readsPrompt = !this->request.incoming.prompt.empty();
   if (!readsPrompt || this->sends > 0) {
     return SendAdvice::eSend; // it has stood back before its first send
   }
+  const double reading = static_cast<double>(aPlacement.uncachedTokens) /
+                         this->PlacerOf().Speed().promptTokensPerMs;
   return LateWork::Advise(
     SendChance{ ServingState::Now() - this->request.arrived,
                 this->request.route->target,
                 this->Left(),
                 aPlacement.expectedMs,
+                reading,
                 aPlacement.aheadTokens == 0 });
 }
 
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -49,7 +49,7 @@
 private:
   /** The back end to send to next; nothing when there is none. */
   std::optional<Placement> Choose();
-  [[nodiscard]] SendAdvice Advise(const Placement& aPlacement) const;
+  [[nodiscard]] SendAdvice Advise(const Placement& aPlacement);
   [[nodiscard]] bool MaySendAgain();
   Task<SendOutcome> Send(Placement aPlacement);
   Task<SendOutcome> Relay(HttpExchange& aExchange, const Placement& aPlacement);
--- a/test/correctness/LateWorkTest.cpp
+++ b/test/correctness/LateWorkTest.cpp
@@ -63,6 +63,7 @@
                                                        kTarget,
                                                        kDeadline - waited,
                                                        expected,
+                                                       it->readingMs,
                                                        this->backlogMs <= 0 })
                         : SendAdvice::eSend;
       if (advice == SendAdvice::eWait) {
@@ -113,7 +114,7 @@
 
 TEST_CASE("work that is late is sent once an engine is nearly free")
 {
-  SendChance chance{ Millis(800), Millis(600), Millis(9000), 700, false };
+  SendChance chance{ Millis(800), Millis(600), Millis(9000), 700, 200, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eWait);
   chance.expectedMs = 200;
   CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
@@ -121,11 +122,11 @@
 
 TEST_CASE("late work is refused while its caller can still come back")
 {
-  SendChance chance{ Millis(899), Millis(600), Millis(9000), 700, false };
+  SendChance chance{ Millis(899), Millis(600), Millis(9000), 700, 200, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eWait);
   chance.waited = Millis(900);
   CHECK(LateWork::Advise(chance) == SendAdvice::eRefuse);
-  chance = SendChance{ Millis(500), Millis(600), Millis(400), 700, false };
+  chance = SendChance{ Millis(500), Millis(600), Millis(400), 700, 200, false };
   CHECK(LateWork::Advise(chance) == SendAdvice::eRefuse);
 }
 
@@ -133,13 +134,25 @@
 {
   // A service's only engine was slow for a while and is idle now. Its answers
   // are expected late, and only another answer can show that they are not.
-  const SendChance chance{ Millis(0), Millis(600), Millis(9000), 4000, true };
+  const SendChance chance{
+    Millis(0), Millis(600), Millis(9000), 4000, 200, true
+  };
+  CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
+}
+
+TEST_CASE("a short prompt does not stand back")
+{
+  const SendChance chance{
+    Millis(0), Millis(300), Millis(9000), 450, 10, false
+  };
   CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
 }
 
 TEST_CASE("a request without a target never stands back")
 {
-  const SendChance chance{ Millis(0), Millis(0), Millis(900), 5000, false };
+  const SendChance chance{
+    Millis(0), Millis(0), Millis(900), 5000, 200, false
+  };
   CHECK(LateWork::Advise(chance) == SendAdvice::eSend);
 }
 
