A holder that wakes between its record and its call sends nothing

Ruled out: the record (its condition and the pause were checked); two claims at once.

Change: right before a call's first byte is sent, the holder's look at the records must be newer than 0.8 s by a clock that goes on while the machine is suspended; else nothing is sent. A report that stands in the records and is sent again looks first as well. The test, suspended before the call is opened and before it is written, failed before in both.

--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -154,7 +154,8 @@
                    HttpRequest aRequest,
                    CallTimeouts aTimeouts,
                    bool aFresh,
-                   std::shared_ptr<CallAbort> aAbort)
+                   std::shared_ptr<CallAbort> aAbort,
+                   MaySend aMaySend)
 {
   HttpExchange exchange;
   exchange.worker = &aWorker;
@@ -172,7 +173,8 @@
     }
   }
   exchange.Expose();
-  if (exchange.Aborted()) {
+  const bool wanted = !aMaySend || aMaySend();
+  if (exchange.Aborted() || !wanted) {
     co_return tl::unexpected<CallError>(
       exchange.Failed(CallPhase::eConnect, net::error::operation_aborted));
   }
@@ -240,10 +242,16 @@
           Endpoint aEndpoint,
           HttpRequest aRequest,
           CallTimeouts aTimeouts,
-          bool aFresh)
+          bool aFresh,
+          MaySend aMaySend)
 {
-  auto opened = co_await HttpExchange::Open(
-    aWorker, aEndpoint, std::move(aRequest), aTimeouts, aFresh);
+  auto opened = co_await HttpExchange::Open(aWorker,
+                                            aEndpoint,
+                                            std::move(aRequest),
+                                            aTimeouts,
+                                            aFresh,
+                                            nullptr,
+                                            std::move(aMaySend));
   if (!opened) {
     co_return tl::unexpected<CallError>(opened.error());
   }
@@ -269,10 +277,11 @@
       Endpoint aEndpoint,
       HttpRequest aRequest,
       CallTimeouts aTimeouts,
-      bool aFresh)
+      bool aFresh,
+      MaySend aMaySend)
 {
-  auto first =
-    co_await FetchOnce(aWorker, aEndpoint, aRequest, aTimeouts, aFresh);
+  auto first = co_await FetchOnce(
+    aWorker, aEndpoint, aRequest, aTimeouts, aFresh, aMaySend);
   const bool stale = !first && first.error().reused && !aFresh &&
                      first.error().phase != CallPhase::eBody;
   if (!stale) {
@@ -280,7 +289,7 @@
   }
   aWorker.pool.Drop(aEndpoint);
   auto second = co_await FetchOnce(
-    aWorker, aEndpoint, std::move(aRequest), aTimeouts, true);
+    aWorker, aEndpoint, std::move(aRequest), aTimeouts, true, aMaySend);
   co_return second;
 }
 
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -8,6 +8,7 @@
 #include "Task.h"
 
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <optional>
 
 namespace toucanshed {
@@ -57,6 +58,10 @@
   HttpConnection* live = nullptr;
 };
 
+/** Asked right before a request's first byte is sent; false ends the call with
+ * nothing sent. */
+using MaySend = std::function<bool()>;
+
 /** How long each phase may go without progress. */
 struct CallTimeouts
 {
@@ -89,7 +94,8 @@
     HttpRequest aRequest,
     CallTimeouts aTimeouts,
     bool aFresh = false,
-    std::shared_ptr<CallAbort> aAbort = nullptr);
+    std::shared_ptr<CallAbort> aAbort = nullptr,
+    MaySend aMaySend = nullptr);
   HttpExchange(HttpExchange&&) noexcept = default;
   HttpExchange& operator=(HttpExchange&&) noexcept = default;
   ~HttpExchange();
@@ -135,6 +141,7 @@
       Endpoint aEndpoint,
       HttpRequest aRequest,
       CallTimeouts aTimeouts,
-      bool aFresh = false);
+      bool aFresh = false,
+      MaySend aMaySend = nullptr);
 
 } // namespace toucanshed
--- a/src/serve/DutyActs.cpp
+++ b/src/serve/DutyActs.cpp
@@ -33,11 +33,16 @@
                                kCloudCallTime,
                                kCloudCallTime };
   this->state.metrics.Count("toucanshed_cloud_calls_total");
+  // A holder that is suspended between its record and its call wakes with a
+  // call at hand that another holder has overtaken. Sent all the same, it would
+  // undo that one's order.
+  MaySend maySend = [this] { return this->Holds() && this->Confirmed(); };
   auto reply = co_await Fetch(this->state.pool.First(),
                               *this->state.settings.cloud,
                               std::move(aRequest),
                               timeouts,
-                              true);
+                              true,
+                              maySend);
   if (!reply) {
     this->state.log.Emit(
       Event("cloud.unanswered").With("why", reply.error().message));
@@ -181,6 +186,10 @@
       co_return;
     }
   }
+  const bool holds = co_await this->Confirm();
+  if (!holds) {
+    co_return;
+  }
   std::map<TeamId, std::uint64_t> recorded;
   for (const auto& entry : this->records.Reports().at(aWindow).counts()) {
     recorded[TeamId{ entry.team() }] = entry.count();
--- a/src/serve/DutyKeeper.cpp
+++ b/src/serve/DutyKeeper.cpp
@@ -4,8 +4,6 @@
 #include "StoreClient.h"
 #include "edge/Worker.h"
 
-#include <ctime>
-
 namespace toucanshed {
 
 namespace {
@@ -24,25 +22,16 @@
 /** The second daemon in the order waits this much longer, and so on, so that
  * one alone claims; the store would refuse the others, but at a price. */
 constexpr Millis kClaimStep{ 600 };
-/** Time from a record to its call. A holder that was paused for longer looks
- * again whether it still holds the duty. */
+/** Time from a look at the records to a call that rests on it. A holder that
+ * was paused for longer looks again whether it still holds the duty. */
 constexpr Millis kMostPause{ 800 };
 
-/** Time that goes on while the machine is suspended. */
-TimePoint
-BootTime()
-{
-  constexpr std::int64_t kMillis = 1000;
-  constexpr std::int64_t kNanos = 1000000;
-  timespec now{};
-  ::clock_gettime(CLOCK_BOOTTIME, &now);
-  return TimePoint{ now.tv_sec * kMillis + now.tv_nsec / kNanos };
-}
-
 } // namespace
 
-DutyKeeper::DutyKeeper(ServingState& aState)
+DutyKeeper::DutyKeeper(ServingState& aState,
+                       std::function<TimePoint()> aBootTime)
   : state(aState)
+  , bootTime(std::move(aBootTime))
   , holderHeardAt(ServingState::Now())
 {
 }
@@ -228,25 +217,51 @@
   aRecord.set_holder(this->state.settings.id.value);
   aRecord.set_life(this->state.life);
   aRecord.set_fence(this->state.dutyFence.value);
-  const TimePoint began = BootTime();
+  const TimePoint began = this->bootTime();
   const auto appended = co_await AppendToStore(this->state,
                                                StoreTopic::eDuties,
                                                aRecord.SerializeAsString(),
                                                this->records.End());
-  if (appended && BootTime() - began < kMostPause) {
+  if (appended && this->bootTime() - began < kMostPause) {
+    this->confirmedAt = began;
     this->records.Apply(aRecord, ServingState::Now());
     this->state.dutyEnd = this->records.End();
     co_return true;
   }
+  co_await this->LookAgain();
+  co_return false; // the next look finds what stands in the records
+}
+
+bool
+DutyKeeper::Confirmed() const
+{
+  return this->bootTime() - this->confirmedAt < kMostPause;
+}
+
+Task<bool>
+DutyKeeper::Confirm()
+{
+  if (!this->Holds() || this->Confirmed()) {
+    co_return this->Holds();
+  }
+  co_return co_await this->LookAgain();
+}
+
+Task<bool>
+DutyKeeper::LookAgain()
+{
+  const TimePoint began = this->bootTime();
   const bool caughtUp = co_await this->CatchUp();
-  if (!caughtUp) {
+  if (!caughtUp || !this->Holds()) {
     co_return false;
   }
   const bool overtaken = this->records.Claim()->fence != this->state.dutyFence;
   if (overtaken) {
     this->StepDown("another daemon has claimed it");
+    co_return false;
   }
-  co_return false; // the next look finds what stands in the records
+  this->confirmedAt = began;
+  co_return true;
 }
 
 } // namespace toucanshed
--- a/src/serve/DutyKeeper.h
+++ b/src/serve/DutyKeeper.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "ServingState.h"
 #include "WireFormats.h"
 #include "coord/DutyLog.h"
 #include "coord/HighestLately.h"
@@ -15,8 +16,6 @@
 
 namespace toucanshed {
 
-struct ServingState;
-
 /**
  * A claim is a record appended on the condition that nothing came in between.
  * Before each act its holder appends what it will do on the same condition, so
@@ -28,7 +27,11 @@
 class DutyKeeper
 {
 public:
-  explicit DutyKeeper(ServingState& aState);
+  /** \param aBootTime a clock that goes on while the machine is suspended, as
+   * the steady clock does not */
+  explicit DutyKeeper(
+    ServingState& aState,
+    std::function<TimePoint()> aBootTime = ServingState::BootTime);
 
   /** Claims and acts for as long as the daemon runs. Precondition: the
    * settings name a store and a cloud. */
@@ -56,7 +59,14 @@
   /** Appends a record of this holder. \return whether it stands and the claim
    * still holds. */
   Task<bool> Record(serving::DutyRecord aRecord);
-  /** One call to the cloud. \return its status, 0 without an answer. */
+  /** Whether the records were seen to name this holder just now. */
+  [[nodiscard]] bool Confirmed() const;
+  /** Looks at the records again unless that was just done. \return whether this
+   * daemon holds the duties. */
+  Task<bool> Confirm();
+  Task<bool> LookAgain();
+  /** One call to the cloud, which is sent only while Confirmed. \return its
+   * status, 0 without an answer. */
   Task<unsigned> CallCloud(HttpRequest aRequest);
   void StepDown(const std::string& aWhy);
   [[nodiscard]] bool Holds() const;
@@ -70,6 +80,8 @@
   [[nodiscard]] std::int64_t ClaimantsBefore() const;
 
   ServingState& state;
+  std::function<TimePoint()> bootTime;
+  TimePoint confirmedAt; // by bootTime
   DutyLog records;
   ScalePlanner planner;
   bool read = false;          // the records were read from their start
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cmath>
+#include <ctime>
 
 namespace toucanshed {
 
@@ -37,6 +38,16 @@
   return TimePoint{ std::chrono::duration_cast<Millis>(now).count() };
 }
 
+TimePoint
+ServingState::BootTime()
+{
+  constexpr std::int64_t kMillis = 1000;
+  constexpr std::int64_t kNanos = 1000000;
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint{ now.tv_sec * kMillis + now.tv_nsec / kNanos };
+}
+
 std::int64_t
 ServingState::WallMs()
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -45,6 +45,8 @@
 
   /** The steady clock, which jumps of the time of day do not touch. */
   [[nodiscard]] static TimePoint Now();
+  /** A clock that also goes on while the machine is suspended. */
+  [[nodiscard]] static TimePoint BootTime();
   /** This machine's time of day, in milliseconds. */
   [[nodiscard]] static std::int64_t WallMs();
   /** True time by the middle one of all daemons' clocks. */
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -26,6 +26,8 @@
   void Put(const std::string& aTopic,
            const std::string& aKey,
            const std::optional<std::string>& aValue);
+  /** Appends a record as another daemon does. */
+  void Add(const std::string& aTopic, const std::string& aRecord);
   /** Drops a topic's history; the newest record of each key stays. */
   void DropHistory(const std::string& aTopic);
   [[nodiscard]] std::size_t RecordsOf(const std::string& aTopic) const;
@@ -47,7 +49,6 @@
   HttpReply Read(const HttpRequest& aRequest);
   HttpReply Newest(const HttpRequest& aRequest);
   static std::uint64_t EndOf(const Topic& aTopic);
-  void Add(const std::string& aTopic, const std::string& aRecord);
 
   std::map<std::string, Topic> topics;
 };
--- a/test/failure/DutyTest.cpp
+++ b/test/failure/DutyTest.cpp
@@ -18,6 +18,9 @@
   }
 }
 
+constexpr Millis kSuspended{ 7000 };
+constexpr const char* kDutiesTopic = "toucanshed-duties";
+
 /** Runs a second daemon's worker on this thread for as long as the caller runs.
  * Its sockets are its own worker's; not run, none of its calls would end. */
 Task<void>
@@ -121,6 +124,39 @@
   CHECK(holders.size() > 1); // both have acted
 }
 
+TEST_CASE("a holder that wakes between its record and its call sends nothing")
+{
+  // A holder records a report and is suspended before it has sent it. Another
+  // daemon claims and acts meanwhile. The first one wakes with the call at
+  // hand; sent, it would come behind the other's, and undo what that one said.
+  const int readings = GENERATE(2, 3); // of the clock, until it is suspended
+  PlatformWorld world(static_cast<std::uint16_t>(22370 + 10 * readings));
+  int read = 0;
+  DutyKeeper keeper(*world.state, [&world, &read, readings] {
+    // The claim is the first record; the next one is that of a report.
+    read += world.store.RecordsOf(kDutiesTopic) > 1 ? 1 : 0;
+    if (read == readings) {
+      serving::DutyRecord claim;
+      claim.set_holder("daemon-2");
+      claim.set_life(1);
+      world.store.Add(kDutiesTopic, claim.SerializeAsString());
+    }
+    const bool slept = read >= readings;
+    return ServingState::BootTime() + (slept ? kSuspended : Millis(0));
+  });
+  CountRequests(*world.state, 3);
+  world.Run([](PlatformWorld& aWorld, DutyKeeper& aKeeper) -> Task<void> {
+    aWorld.state->pool.First().Spawn(aKeeper.Run());
+    co_await Sleep(std::chrono::milliseconds(4000));
+  }(world, keeper));
+  CHECK(read >= readings);
+  // It may claim again later, with a fence of its own.
+  for (const auto& call : world.cloud.accepted) {
+    CHECK(call.fence != 1);
+  }
+  CHECK(world.state->dutyFence.value != 1);
+}
+
 TEST_CASE("a holder that the store turns away gives the duties up")
 {
   // The store turns the holder away for seconds and serves the others. Holding
