--- a/src/coord/TeamQuotas.h
+++ b/src/coord/TeamQuotas.h
@@ -46,8 +46,8 @@
  * A daemon that starts does not know what was let through before. A team whose
  * limit was used up must not get its burst again when all daemons are killed at
  * once, so all of them together begin with what may be overshot alone, of which
- * each has its own part and that of the daemons it hears; and a daemon takes the
- * level that one which runs longer tells.
+ * each has its own part and that of the daemons it hears; and a daemon takes
+ * the level that one which runs longer tells.
  *
  * Thread safety: none; the owner serialises.
  */
