--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -59,8 +59,7 @@
     std::size_t aMost) const;
   /** Where to send the counts that the duties need: to their holder, and to
    * those that would claim them after it, so that these know what a daemon that
-   * has died had counted. Sent to all, they were most of every word and filled
-   * links of 10 Mbit/s among 89 daemons. */
+   * has died had counted. Sent to all, they would be most of every word. */
   [[nodiscard]] std::vector<std::string> KeeperAddresses(TimePoint aNow) const;
   /** Daemons heard of lately, without this one. */
   [[nodiscard]] std::vector<const serving::DaemonWord*> Live(
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -15,9 +15,8 @@
 constexpr double kHomeMs = 15;
 /** Part of the shared tokens that the engine which a part names is taken to
  * have to read, when this daemon has not sent it there lately: others have, and
- * among many daemons that is not known here. At 89 daemons, taken to lack them
- * all, it was passed over for any free engine: 33 million shared tokens were
- * read again in a day of 76 s, 21 million since. */
+ * among many daemons that is not known here. Taken to lack them all, it would
+ * be passed over for any free engine, and the part be read again there. */
 constexpr double kHomeLacks = 0.3;
 /** A failing engine's expected time is stretched as if each failure in its
  * newest answers cost this; about the time until a caller comes back. */
--- a/src/coord/ScalePlanner.cpp
+++ b/src/coord/ScalePlanner.cpp
@@ -14,8 +14,7 @@
 constexpr double kOnDemandPart = 0.25;
 /** Reclaimable engines for each needed one. With four failure domains this
  * leaves more than are needed when one is reclaimed, and with the on-demand
- * ones as many when two are. Against 0.34 on demand and 1.4 reclaimable this
- * bought 0.012 of a day's worth, as the mean of twelve days. */
+ * ones as many when two are. */
 constexpr double kReclaimablePart = 1.6;
 /** Part of the needed engines that suffices for some seconds: they are needed
  * so that prompts rarely meet, and bear more while these wait for each other.
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -74,8 +74,7 @@
   static constexpr Millis kFirstTime{ 25000 };
   /** Nothing is ordered before a service's engines have ceased to appear in the
    * list for this long: heartbeats are up to two seconds apart, and a plan made
-   * from the first few took a deployment of 18 engines down to 5 as its traffic
-   * began. */
+   * from the first few would give back engines that the traffic needs. */
   static constexpr Millis kAppearing{ 2500 };
 
   /** Engines that bear the demand in calm. */
--- a/src/serve/DutyKeeper.cpp
+++ b/src/serve/DutyKeeper.cpp
@@ -15,9 +15,8 @@
  * one that lives after all. */
 constexpr Millis kBeyondLease{ 300 };
 /** A holder that does not reach the store for this long gives the duties up: it
- * can record nothing and so may do nothing, and others may reach the store. A
- * holder that was turned away for seven seconds ordered no engines while a
- * failure domain was reclaimed; half of the worth of those seconds was lost. */
+ * can record nothing and so may do nothing, and others may reach the store.
+ * Holding on, it would leave a reclaim without an order for engines. */
 constexpr Millis kStoreAway{ 1000 };
 /** The second daemon in the order waits this much longer, and so on, so that
  * one alone claims; the store would refuse the others, but at a price. */
--- a/src/serve/PeerLink.h
+++ b/src/serve/PeerLink.h
@@ -27,8 +27,7 @@
    * what the others have said, so this is how stale that is. */
   static constexpr Millis kEvery{ 150 };
   /** With many daemons words are further apart, by so much for each: a daemon
-   * then takes in 80 words a second whatever their number. At 90 daemons and
-   * 150 ms it would be 600, more than half of an eighth of a core. */
+   * then takes in 80 words a second whatever their number. */
   static constexpr Millis kEveryForEach{ 12 };
 
   /** Intervals differ at random by up to this part of them, inverted, so that
@@ -36,17 +35,15 @@
   static constexpr std::uint64_t kSpreadPart = 4;
 
   /** Daemons that one word is said to at once; with more, the interval is
-   * divided between parts of them. Said to 88 at once, words of 1 to 2 KB
-   * filled the queue of a link of 10 Mbit/s, and what was said after them was
-   * lost for seconds on end: the holder reported a tenth of the usage. */
+   * divided between parts of them. Said to a hundred at once, words would
+   * fill the queue of a small link, and what is said after them be lost. */
   static constexpr std::size_t kMostAtOnce = 12;
 
   explicit PeerLink(ServingState& aState);
 
   /** Prompts of at least so many tokens are told of at once. They hold up what
    * arrives after them for tens of ms; by the next word other daemons would
-   * have sent theirs to the same engine, which seemed free to all. On a calm
-   * day with nine engines 65 of 88 late first tokens were due to that. */
+   * have sent theirs to the same engine, which seemed free to all. */
   static constexpr std::int64_t kNoticedTokens = 2000;
   /** Notices cost a datagram a daemon; with more daemons only words are sent,
    * and the engines are many enough to be spread over by chance. */
--- a/src/serve/StoreFeed.h
+++ b/src/serve/StoreFeed.h
@@ -3,7 +3,7 @@
  *
  * Two of the daemons read and tell the others that their copies are current,
  * with what has changed in the list. Who hears of neither, or holds something
- * else, reads itself. At 89 daemons everyone reading cost a day 8,900 calls.
+ * else, reads itself. Everyone reading would cost the store a call a daemon.
  */
 #pragma once
 
