Reasons of lost requests have a file of their own

What decides a request's fate and reason is in LossReason, what adds up in Report; nothing else changes (the recorded report is the same).

--- a/src/cli/Report.h
+++ b/src/cli/Report.h
@@ -4,50 +4,15 @@
  */
 #pragma once
 
-#include "ReportEvents.h"
+#include "LossReason.h"
 
 #include <array>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace toucanshed {
 
-/** How a request ended for its caller. */
-enum class RequestFate
-{
-  eOnTime,
-  eLate,
-  eRefused,
-  eFailed,
-  eNotCounted, // not allowed, or its caller left
-};
-
-/** Why a request was not served on time. */
-enum class LossReason
-{
-  eBehindPrompts, // other prompts were to be read before its own
-  eEngineLeft,
-  eEngineCrashed,
-  eEngineHung,
-  eEngineFailed, // its own failure, or an answer that was no answer
-  eEngineSlow,   // nothing ahead, and far later than expected
-  eNoEngine,
-  eEnginesFull,
-  eLittleTime, // too little was left when it was admitted
-  eOverLimit,
-  eDaemonStarting,
-  eUnexplained,
-};
-
-constexpr std::size_t kLossReasons =
-  static_cast<std::size_t>(LossReason::eUnexplained) + 1;
-
-/** The one word that the report uses. Thread safety: pure. */
-std::string_view
-NameOf(LossReason aReason);
-
 /** Requests that have something in common. */
 struct RequestCounts
 {
--- a/src/coord/LateWork.cpp
+++ b/src/coord/LateWork.cpp
@@ -1,7 +1,5 @@
 #include "LateWork.h"
 
-#include <algorithm>
-
 namespace toucanshed {
 
 SendAdvice
--- a/src/coord/LateWork.h
+++ b/src/coord/LateWork.h
@@ -53,6 +53,8 @@
   /** How often a request that stands back asks again. */
   static constexpr Millis kLook{ 40 };
 
+  /** What to do with a request now. Its caller asks again after kLook while the
+   * answer is eWait. */
   [[nodiscard]] static SendAdvice Advise(const SendChance& aChance);
 };
 
--- a/src/coord/QuotaExchange.h
+++ b/src/coord/QuotaExchange.h
@@ -52,10 +52,13 @@
   /** The list of daemons has been read. Before that and the first word it is
    * not known with how many the limits are shared. */
   void Listed() { this->listed = true; }
+  /** Takes in a daemon's totals. A word of an earlier life than the newest one
+   * heard is dropped; smaller totals than known ones were overtaken. */
   void Hear(const serving::QuotaWord& aWord,
             QuotaTelling aTelling,
             TimePoint aNow);
 
+  /** Forgets daemons that have been silent for kForgotten. */
   void Expire(TimePoint aNow);
 
   /** What the other daemons let through for each team since this was last
@@ -90,8 +93,8 @@
     TimePoint wordAt;
     double ratedTaken = 0; // the rate is known up to here
     TimePoint ratedAt;
-    bool unheard =
-      false; // since its last word, for so long that it lost its part
+    /** Since its last word, for so long that its part was kept for it. */
+    bool unheard = false;
     std::optional<double> level;
   };
 
