--- a/src/coord/Router.cpp
+++ b/src/coord/Router.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t kRandomCandidates = 2;
 /** Looked at while all before them would make the request wait. */
 constexpr std::size_t kMostRandomCandidates = 12;
-/** Prompt tokens an engine computes in a millisecond, for estimates; the
- * measured slowness corrects what this gets wrong. */
+/** Prompt tokens an engine computes in a millisecond, for estimates; each
+ * engine's slowness, as seen here, corrects what this gets wrong. */
 constexpr double kPrefillPerMs = 20;
 constexpr double kStepMs = 5;
 constexpr double kOtherZoneMs = 2;
--- a/src/coord/VersionTest.cpp
+++ b/src/coord/VersionTest.cpp
@@ -97,7 +97,7 @@
            const VersionTestLimits& aLimits)
 {
   // Before the old version has served enough to be a reference, errors are
-  // measured against a share that no working version reaches.
+  // compared with a share that no working version reaches.
   constexpr double kUnknownErrorRate = 0.2;
   constexpr std::uint64_t kSureReference = 200;
   if (aOld.requests >= kSureReference) {
--- a/test/correctness/TeamQuotasTest.cpp
+++ b/test/correctness/TeamQuotasTest.cpp
@@ -31,6 +31,19 @@
   return world;
 }
 
+/** What another daemon has let through in its first life. */
+serving::QuotaWord
+WordOfOther(double aTaken)
+{
+  serving::QuotaWord word;
+  word.set_id("daemon-1");
+  word.set_life(1);
+  serving::TeamWord* team = word.add_teams();
+  team->set_team("team-one");
+  team->set_taken(aTaken);
+  return word;
+}
+
 double
 RefusedPart(const QuotaWorld& aWorld)
 {
@@ -179,12 +192,8 @@
 TEST_CASE("a daemon that starts again counts from its start")
 {
   QuotaExchange exchange(DaemonId{ "daemon-0" });
-  serving::QuotaWord word;
-  word.set_id("daemon-1");
-  word.set_life(1);
-  serving::TeamWord* team = word.add_teams();
-  team->set_team("team-one");
-  team->set_taken(500);
+  serving::QuotaWord word = WordOfOther(500);
+  serving::TeamWord* team = word.mutable_teams(0);
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
   exchange.TakeUse(TimePoint{ 1000 }, kSilent);
   word.set_life(2);
@@ -197,12 +206,8 @@
 TEST_CASE("a quota word that comes late takes nothing back")
 {
   QuotaExchange exchange(DaemonId{ "daemon-0" });
-  serving::QuotaWord word;
-  word.set_id("daemon-1");
-  word.set_life(1);
-  serving::TeamWord* team = word.add_teams();
-  team->set_team("team-one");
-  team->set_taken(500);
+  serving::QuotaWord word = WordOfOther(500);
+  serving::TeamWord* team = word.mutable_teams(0);
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
   team->set_taken(300);
   exchange.Hear(word, QuotaTelling::eRegular, TimePoint{ 1000 });
