Logs tell who read that an engine left, when, and what was sent to it after

The incident's logs could not tell four hypotheses apart: a removal's line did not say from which daemon's read it came nor how old that read was, nor that the engine was kept, and it came again with each repeat of the word. An entry that is already kept is not logged, nor removed, again.

No decision changes.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -43,28 +43,19 @@
   }
 }
 
-void
-BackendTable::KeepOnly(const std::vector<InstanceId>& aIds,
-                       std::optional<TimePoint> aStoreReturned,
-                       TimePoint aNow)
+std::vector<InstanceId>
+BackendTable::Expire(TimePoint aNow)
 {
-  std::vector<InstanceId> missing;
+  std::vector<InstanceId> dropped;
   for (const auto& [id, backend] : this->backends) {
-    if (std::find(aIds.begin(), aIds.end(), id) == aIds.end()) {
-      missing.push_back(id);
+    if (backend.goneAt && *backend.goneAt <= aNow) {
+      dropped.push_back(id);
     }
   }
-  for (const InstanceId& id : missing) {
-    this->Remove(id, aStoreReturned, aNow);
+  for (const InstanceId& id : dropped) {
+    this->backends.erase(id);
   }
-}
-
-void
-BackendTable::Expire(TimePoint aNow)
-{
-  std::erase_if(this->backends, [aNow](const auto& aPair) {
-    return aPair.second.goneAt && *aPair.second.goneAt <= aNow;
-  });
+  return dropped;
 }
 
 void
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -48,6 +48,7 @@
   BackendLoad others;   // sent by the other daemons, by their last word
   bool leaving = false; // by the list, its own answer or another daemon
   std::optional<TimePoint> goneAt; // its entry went while the store was away
+  TimePoint sentAt;                // the last send to it; 0: none
   double failureShare = 0; // of the newest answers, newer ones count more
   TimePoint pausedUntil;   // not chosen before, after failures in a row
   unsigned failuresInRow = 0;
@@ -100,12 +101,9 @@
   void Remove(const InstanceId& aId,
               std::optional<TimePoint> aStoreReturned,
               TimePoint aNow);
-  /** Removes all that are not in aIds, as Remove does. */
-  void KeepOnly(const std::vector<InstanceId>& aIds,
-                std::optional<TimePoint> aStoreReturned,
-                TimePoint aNow);
-  /** Drops what lapsed and was not listed again in time. */
-  void Expire(TimePoint aNow);
+  /** Drops what lapsed and was not listed again in time.
+   * \return what was dropped */
+  std::vector<InstanceId> Expire(TimePoint aNow);
 
   /** Its entry names no back end that may be used any more. */
   void MarkUnlisted(const InstanceId& aId);
--- a/src/coord/TopicFreshness.h
+++ b/src/coord/TopicFreshness.h
@@ -44,6 +44,11 @@
     return this->behind || !this->asOf || aNow - *this->asOf >= aMost;
   }
 
+  /** Somebody who has read it since holds something else than is here. */
+  [[nodiscard]] bool Behind() const { return this->behind; }
+  /** As of when the copy here is known to be current; nothing if never. */
+  [[nodiscard]] std::optional<TimePoint> AsOf() const { return this->asOf; }
+
 private:
   void Extend(TimePoint aAsOf)
   {
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -2,39 +2,80 @@
 
 #include "ServingState.h"
 
+#include <set>
+#include <vector>
+
 namespace toucanshed {
 
 namespace {
 
 void
-LogBackend(ServingState& aState, const BackendEntry& aEntry, const char* aWhat)
+LogBackend(ServingState& aState,
+           const Backend& aBackend,
+           const char* aWhat,
+           Position aPosition,
+           const ListRead& aRead)
 {
-  aState.log.Emit(Event("backend.listed")
-                    .With("backend", aEntry.id)
-                    .With("what", aWhat)
-                    .With("service", aEntry.service)
-                    .With("address", aEntry.address)
-                    .With("zone", aEntry.zone)
-                    .With("reclaimable", aEntry.reclaimable ? 1 : 0)
-                    .With("version", aEntry.version));
+  const BackendEntry& entry = aBackend.entry;
+  const TimePoint now = ServingState::Now();
+  const bool used = aBackend.sentAt.ms != 0;
+  aState.log.Emit(
+    Event("backend.listed")
+      .With("backend", entry.id)
+      .With("what", aWhat)
+      .With("service", entry.service)
+      .With("address", entry.address)
+      .With("zone", entry.zone)
+      .With("reclaimable", entry.reclaimable ? 1 : 0)
+      .With("version", entry.version)
+      .With("reader", aRead.reader)
+      .With("read_ms_ago", (now - aRead.asOf).count())
+      .With("position", aPosition.value)
+      .With("sent_ms_ago", used ? (now - aBackend.sentAt).count() : -1)
+      .With("running", aBackend.own.running));
 }
 
-bool
-TakeGone(ServingState& aState, const InstanceId& aId)
+/** Its entry has gone; tells what becomes of it. */
+void
+RemoveBackend(ServingState& aState,
+              const InstanceId& aId,
+              Position aPosition,
+              const ListRead& aRead)
 {
   const Backend* known = aState.backends.Find(aId);
-  if (known == nullptr) {
-    return false;
+  if (known == nullptr || known->goneAt) {
+    return;
+  }
+  LogBackend(aState, *known, "gone", aPosition, aRead);
+  const TimePoint now = ServingState::Now();
+  aState.backends.Remove(aId, aState.storeReturned, now);
+  const Backend* kept = aState.backends.Find(aId);
+  if (kept != nullptr) {
+    aState.log.Emit(
+      Event("backend.kept")
+        .With("backend", aId)
+        .With("for_ms", (*kept->goneAt - now).count())
+        .With("store_returned_ms_ago", (now - *aState.storeReturned).count()));
   }
-  LogBackend(aState, known->entry, "gone");
-  aState.backends.Remove(aId, aState.storeReturned, ServingState::Now());
-  return true;
+}
+
+bool
+TakeGone(ServingState& aState,
+         const InstanceId& aId,
+         Position aPosition,
+         const ListRead& aRead)
+{
+  const bool known = aState.backends.Find(aId) != nullptr;
+  RemoveBackend(aState, aId, aPosition, aRead);
+  return known;
 }
 
 } // namespace
 
 bool
-TakeBackendRecord(ServingState& aState, const KeyedRecord& aRecord)
+TakeBackendRecord(ServingState& aState,
+                  const KeyedRecord& aRecord,
+                  const ListRead& aRead)
 {
   const InstanceId id{ aRecord.key };
   const bool newer = aState.listCopy.Advance(aRecord.key, aRecord.position);
@@ -42,7 +83,7 @@
     return false;
   }
   if (!aRecord.value) {
-    return TakeGone(aState, id);
+    return TakeGone(aState, id, aRecord.position, aRead);
   }
   const Backend* known = aState.backends.Find(id);
   auto entry = aState.wire.records.backend(aRecord.key, *aRecord.value);
@@ -56,38 +97,63 @@
   }
   const bool same =
     known != nullptr && known->entry == *entry && !known->goneAt.has_value();
-  if (known == nullptr) {
-    LogBackend(aState, *entry, entry->leaving ? "leaving" : "new");
-  } else if (entry->leaving && !known->entry.leaving) {
-    LogBackend(aState, *entry, "leaving");
-  }
+  const bool isNew = known == nullptr;
+  const bool leaves = entry->leaving && (isNew || !known->entry.leaving);
   aState.backends.Put(*entry);
+  if (isNew || leaves) {
+    LogBackend(aState,
+               *aState.backends.Find(id),
+               leaves ? "leaving" : "new",
+               aRecord.position,
+               aRead);
+  }
   return !same;
 }
 
 void
-TakeLeaving(ServingState& aState, const InstanceId& aId, Position aPosition)
+TakeLeaving(ServingState& aState,
+            const InstanceId& aId,
+            Position aPosition,
+            const ListRead& aRead)
 {
   const Backend* known = aState.backends.Find(aId);
   const bool news = aState.listCopy.Advance(aId.value, aPosition) &&
                     known != nullptr && !known->entry.leaving;
   if (news) {
-    LogBackend(aState, known->entry, "leaving");
+    LogBackend(aState, *known, "leaving", aPosition, aRead);
     aState.backends.MarkUnlisted(aId);
   }
 }
 
 void
-ReplaceBackends(ServingState& aState, const TopicPage& aPage)
+ReplaceBackends(ServingState& aState,
+                const TopicPage& aPage,
+                const ListRead& aRead)
 {
-  std::vector<InstanceId> ids;
+  std::set<InstanceId> listed;
   for (const KeyedRecord& record : aPage.records) {
-    ids.push_back(InstanceId{ record.key });
-    TakeBackendRecord(aState, record);
+    listed.insert(InstanceId{ record.key });
+    TakeBackendRecord(aState, record, aRead);
+  }
+  std::vector<InstanceId> missing;
+  for (const auto& [id, backend] : aState.backends.All()) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const InstanceId& id : missing) {
+    RemoveBackend(aState, id, aPage.next, aRead);
   }
-  aState.backends.KeepOnly(ids, aState.storeReturned, ServingState::Now());
   aState.listCopy.Replaced(aPage.next);
   aState.backendsRead = true;
 }
 
+void
+ExpireBackends(ServingState& aState, TimePoint aNow)
+{
+  for (const InstanceId& id : aState.backends.Expire(aNow)) {
+    aState.log.Emit(Event("backend.dropped").With("backend", id));
+  }
+}
+
 } // namespace toucanshed
--- a/src/serve/BackendList.h
+++ b/src/serve/BackendList.h
@@ -11,18 +11,37 @@
 struct ServingState;
 struct TopicPage;
 
+/** A read of the list. */
+struct ListRead
+{
+  DaemonId reader; // who made it: this daemon or one that tells of it
+  TimePoint asOf;  // when the store was asked, by this daemon's clock
+};
+
 /** One record of the list. \return whether it changed which back ends may be
  * used, and how; most records only show that an engine lives.
  * Thread safety: belongs to the worker, as do all of this file. */
 bool
-TakeBackendRecord(ServingState& aState, const KeyedRecord& aRecord);
+TakeBackendRecord(ServingState& aState,
+                  const KeyedRecord& aRecord,
+                  const ListRead& aRead);
 
 /** The record at aPosition says that a back end takes nothing more. */
 void
-TakeLeaving(ServingState& aState, const InstanceId& aId, Position aPosition);
+TakeLeaving(ServingState& aState,
+            const InstanceId& aId,
+            Position aPosition,
+            const ListRead& aRead);
 
 /** The whole list: what is not in it has gone. */
 void
-ReplaceBackends(ServingState& aState, const TopicPage& aPage);
+ReplaceBackends(ServingState& aState,
+                const TopicPage& aPage,
+                const ListRead& aRead);
+
+/** Drops the back ends that were kept, though their entries had gone, and are
+ * not listed again in time. */
+void
+ExpireBackends(ServingState& aState, TimePoint aNow);
 
 } // namespace toucanshed
--- a/src/serve/BackendUse.h
+++ b/src/serve/BackendUse.h
@@ -21,10 +21,10 @@
     , backend(std::move(aBackend))
     , load{ 1, aPromptTokens }
   {
-    const Backend* found = this->table.Find(this->backend);
-    const bool idle = found != nullptr && found->own.running == 0;
-    if (idle) {
-      this->table.Progressed(this->backend, aNow);
+    if (Backend* found = this->table.Find(this->backend)) {
+      found->sentAt = aNow;
+      const bool idle = found->own.running == 0;
+      found->progressAt = idle ? aNow : found->progressAt;
     }
     this->Add(1);
   }
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "PeerLink.h"
 
+#include "BackendList.h"
 #include "PeerWords.h"
 #include "ServingState.h"
 #include "StoreClient.h"
@@ -271,7 +272,7 @@
   this->state.peers.Expire(aNow);
   this->state.quotaExchange.Expire(aNow);
   this->state.facts.Expire(aNow);
-  this->state.backends.Expire(aNow);
+  ExpireBackends(this->state, aNow);
   this->state.backends.SetOthers(this->state.peers.Loads(aNow));
   this->state.CountQuotaUse(aNow);
 }
--- a/src/serve/StoreClient.cpp
+++ b/src/serve/StoreClient.cpp
@@ -12,24 +12,6 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kTooMany = 429;
 
-const char*
-NameOf(StoreTopic aTopic)
-{
-  switch (aTopic) {
-    case StoreTopic::eOperator:
-      return "operator";
-    case StoreTopic::eBackends:
-      return "backends";
-    case StoreTopic::eStatus:
-      return "status";
-    case StoreTopic::eMembers:
-      return "members";
-    case StoreTopic::eDuties:
-      return "duties";
-  }
-  return "unknown";
-}
-
 std::string
 LabelsOf(const StorePurpose& aPurpose)
 {
@@ -65,6 +47,24 @@
 
 } // namespace
 
+const char*
+NameOf(StoreTopic aTopic)
+{
+  switch (aTopic) {
+    case StoreTopic::eOperator:
+      return "operator";
+    case StoreTopic::eBackends:
+      return "backends";
+    case StoreTopic::eStatus:
+      return "status";
+    case StoreTopic::eMembers:
+      return "members";
+    case StoreTopic::eDuties:
+      return "duties";
+  }
+  return "unknown";
+}
+
 Task<Result<HttpReply>>
 CallStore(ServingState& aState,
           StorePurpose aPurpose,
--- a/src/serve/StoreClient.h
+++ b/src/serve/StoreClient.h
@@ -15,6 +15,10 @@
  * says must be in force within two seconds. */
 constexpr Millis kStoreCallTime{ 1200 };
 
+/** The topic's name in logs and counters. */
+const char*
+NameOf(StoreTopic aTopic);
+
 /** What a call to the store is for, as the counters tell them apart. */
 struct StorePurpose
 {
--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -55,9 +55,9 @@
    * engine writes each second is cheaper to read whole then. */
   bool keepsPlace = true;
   TopicFreshness* freshness = nullptr;
-  /** All keys' newest records. */
-  std::function<void(const TopicPage&)> replace;
-  std::function<void(const KeyedRecord&)> apply;
+  /** All keys' newest records, as of when the store was asked. */
+  std::function<void(const TopicPage&, TimePoint aAsOf)> replace;
+  std::function<void(const KeyedRecord&, TimePoint aAsOf)> apply;
   /** The topic was read up to aEnd. */
   std::function<void(Position aEnd)> reached;
   /** What to tell the others of it. */
@@ -84,7 +84,7 @@
     if (!newest) {
       co_return FeedRead{};
     }
-    aFeed.replace(*newest);
+    aFeed.replace(*newest, began);
     co_return FeedRead{ newest->next, began };
   }
   HttpRequest request = aState.wire.store.read(aFeed.topic, *aFrom, aWait);
@@ -96,20 +96,21 @@
   auto page = aState.wire.store.readPage(*reply, *aFrom);
   if (!page && page.error().code == ErrorCode::eConflict) {
     aState.log.Emit(Event("store.history_dropped")
-                      .With("topic", static_cast<int>(aFeed.topic))
+                      .With("topic", NameOf(aFeed.topic))
                       .With("position", aFrom->value));
     co_return FeedRead{};
   }
   if (!page) {
     co_return FeedRead{ aFrom, std::nullopt };
   }
-  for (const KeyedRecord& record : page->records) {
-    aFeed.apply(record);
-  }
   // A call that was held until its time was over found nothing until then.
   const bool held =
     page->records.empty() && ServingState::Now() - began >= aWait;
-  co_return FeedRead{ page->next, held ? began + aWait : began };
+  const TimePoint asOf = held ? began + aWait : began;
+  for (const KeyedRecord& record : page->records) {
+    aFeed.apply(record, asOf);
+  }
+  co_return FeedRead{ page->next, asOf };
 }
 
 void
@@ -135,6 +136,18 @@
   return aReads ? kRetryPause : std::max(kRetryPause, kRetryForEach * daemons);
 }
 
+/** Tells of a read that another daemon should have made. */
+void
+LogOwnRead(ServingState& aState, const Feed& aFeed, TimePoint aBegan)
+{
+  const auto asOf = aFeed.freshness->AsOf();
+  aState.log.Emit(Event("store.own_read")
+                    .With("topic", NameOf(aFeed.topic))
+                    .With("differs", aFeed.freshness->Behind() ? 1 : 0)
+                    .With("copy_ms_old", asOf ? (aBegan - *asOf).count() : -1)
+                    .With("ms", (ServingState::Now() - aBegan).count()));
+}
+
 Task<void>
 FollowForever(ServingState& aState, Feed aFeed)
 {
@@ -155,9 +168,9 @@
       continue;
     }
     if (!reads) {
-      const auto topic = std::to_string(static_cast<int>(aFeed.topic));
       aState.metrics.Count("toucanshed_own_reads_total",
-                           "topic=\"" + topic + "\"");
+                           std::string("topic=\"") + NameOf(aFeed.topic) +
+                             "\"");
     }
     const Millis wait = reads ? aFeed.wait : Millis(0);
     const FeedRead read = co_await Read(aState, aFeed, next, wait);
@@ -166,6 +179,9 @@
       co_await Sleep(RetryPause(aState, reads));
       continue;
     }
+    if (!first) {
+      LogOwnRead(aState, aFeed, began);
+    }
     aFeed.reached(*next);
     aFeed.freshness->Read(*read.asOf);
     if (!reads) {
@@ -187,9 +203,11 @@
 }
 
 void
-ApplyListed(ServingState& aState, const KeyedRecord& aRecord)
+ApplyListed(ServingState& aState,
+            const KeyedRecord& aRecord,
+            const ListRead& aRead)
 {
-  const bool changed = TakeBackendRecord(aState, aRecord);
+  const bool changed = TakeBackendRecord(aState, aRecord, aRead);
   if (!changed) {
     return;
   }
@@ -234,10 +252,10 @@
   feed.most = Part(bound, kCopyPart);
   feed.standsIn = Part(bound, kStandsInPart);
   feed.freshness = &aState.operatorFreshness;
-  feed.apply = [&aState](const KeyedRecord& aRecord) {
+  feed.apply = [&aState](const KeyedRecord& aRecord, TimePoint) {
     TakeOperatorRecord(aState, aRecord);
   };
-  feed.replace = [&aState](const TopicPage& aPage) {
+  feed.replace = [&aState](const TopicPage& aPage, TimePoint) {
     for (const KeyedRecord& record : aPage.records) {
       TakeOperatorRecord(aState, record);
     }
@@ -261,11 +279,11 @@
   feed.standsIn = Part(bound, kStandsInPart);
   feed.keepsPlace = false;
   feed.freshness = &aState.listFreshness;
-  feed.apply = [&aState](const KeyedRecord& aRecord) {
-    ApplyListed(aState, aRecord);
+  feed.apply = [&aState](const KeyedRecord& aRecord, TimePoint aAsOf) {
+    ApplyListed(aState, aRecord, ListRead{ aState.settings.id, aAsOf });
   };
-  feed.replace = [&aState](const TopicPage& aPage) {
-    ReplaceBackends(aState, aPage);
+  feed.replace = [&aState](const TopicPage& aPage, TimePoint aAsOf) {
+    ReplaceBackends(aState, aPage, ListRead{ aState.settings.id, aAsOf });
   };
   feed.reached = [](Position) {};
   feed.describe = [&aState](serving::StoreWord& aWord, Millis aAge) {
@@ -293,10 +311,12 @@
   if (!aWord.list_read() || !aState.backendsRead) {
     return;
   }
+  const auto age = static_cast<std::int64_t>(aWord.list_age_ms());
+  const ListRead read{ DaemonId{ aWord.id() }, now - Millis(age) };
   for (const serving::ListRecord& news : aWord.news()) {
     if (news.leaving()) {
       TakeLeaving(
-        aState, InstanceId{ news.key() }, Position{ news.position() });
+        aState, InstanceId{ news.key() }, Position{ news.position() }, read);
       continue;
     }
     KeyedRecord record;
@@ -305,14 +325,13 @@
     if (!news.gone()) {
       record.value = news.value();
     }
-    TakeBackendRecord(aState, record);
+    TakeBackendRecord(aState, record, read);
   }
-  const auto age = static_cast<std::int64_t>(aWord.list_age_ms());
   const bool same = aState.backends.Digest() == aWord.list_digest();
   if (!same) {
     aState.metrics.Count("toucanshed_list_differs_total");
   }
-  aState.listFreshness.Told(now - Millis(age), same);
+  aState.listFreshness.Told(read.asOf, same);
 }
 
 } // namespace toucanshed
