A test fails: a list of which only a part was read is taken as current

Second hypothesis of the incident of leaving engines, found by reading: the store answers a read with at most 1 MB, and the reader takes any answer for all that is new. A second reader that stands in after seconds, among hundreds of engines, then calls a copy current that lacks the newest removals, and its word makes all others believe so until the first reader's next one. The stand-in store can now bound an answer.

--- a/standin/platform/Store.cpp
+++ b/standin/platform/Store.cpp
@@ -1,5 +1,6 @@
 #include "Store.h"
 
+#include <algorithm>
 #include <boost/endian/conversion.hpp>
 #include <boost/json.hpp>
 #include <openssl/evp.h>
@@ -139,7 +140,8 @@
                      json::serialize(json::object{ { "first", topic.first } }));
   }
   std::string body = BigEndian64(EndOf(topic)) + BigEndian64(topic.first);
-  for (std::uint64_t i = from; i < EndOf(topic); ++i) {
+  const std::uint64_t end = std::min(EndOf(topic), from + this->mostRead);
+  for (std::uint64_t i = from; i < end; ++i) {
     body += WithLength(topic.records[i - topic.first]);
   }
   return MakeReply(kOk, body, "application/octet-stream");
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -32,8 +32,9 @@
   void DropHistory(const std::string& aTopic);
   [[nodiscard]] std::size_t RecordsOf(const std::string& aTopic) const;
 
-  bool down = false;        // every call is answered with 503
-  bool loseAnswers = false; // appends take effect and are not answered
+  bool down = false;             // every call is answered with 503
+  bool loseAnswers = false;      // appends take effect and are not answered
+  std::size_t mostRead = 100000; // records in one answer to a read
   std::size_t reads = 0;
   std::size_t appends = 0;
 
--- a/test/failure/StoreFeedTest.cpp
+++ b/test/failure/StoreFeedTest.cpp
@@ -177,6 +177,35 @@
   CHECK(world.state->backends.All().empty());
 }
 
+// A reader that lags takes the first of many records for the whole news.
+TEST_CASE("a list of which only a part was read is not taken as current")
+{
+  PlatformWorld world(22280);
+  auto& leaving = world.AddEngine("e1", "plain");
+  auto& staying = world.AddEngine("e2", "plain");
+  world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  world.store.Put(kServers, "e2", world.EntryOf("e2"));
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
+    co_await Settle();
+    aWorld.store.mostRead = 4;
+    constexpr int kRenewals = 30;
+    for (int i = 0; i < kRenewals; ++i) {
+      aWorld.store.Put(kServers, "e2", aWorld.EntryOf("e2"));
+    }
+    aWorld.store.Put(kServers, "e1", std::nullopt);
+    co_await SettleList();
+    for (int i = 0; i < 8; ++i) {
+      CallerSend send;
+      send.attempt = "a" + std::to_string(i);
+      const CallerView seen = co_await aWorld.Ask(send);
+      CHECK(seen.status == 200);
+    }
+  }(world));
+  CHECK(leaving.arrivals.empty());
+  CHECK(staying.arrivals.size() == 8);
+}
+
 TEST_CASE("engines whose entries lapsed with the store are still used")
 {
   // The store is away and drops the entries of engines that could not reach
