A topic counts as read only when its end was read

The store answers a read with at most 1 MB and says where the topic ends; that was parsed and ignored. A reader that had not read for seconds took the first part for all, called its copy current, and told the others so. It now reads on until the end, and counts its copy as current as of the last part's call. An answer that holds nothing though there is more counts as failed, so that it is not asked again without a pause.

Applies to the operators' topic as well, by the same code.

--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -64,43 +64,48 @@
   std::function<void(serving::StoreWord&, Millis aAge)> describe;
 };
 
-/** One call's outcome. */
+/** What a read came to. */
 struct FeedRead
 {
   std::optional<Position> next;  // nothing: unknown where to read on
   std::optional<TimePoint> asOf; // nothing: the call failed
+  bool more = false;             // there are newer records
 };
 
-/** Reads the topic once. */
+/** Reads all keys' newest records. */
 Task<FeedRead>
-Read(ServingState& aState,
-     const Feed& aFeed,
-     std::optional<Position> aFrom,
-     Millis aWait)
+ReadWhole(ServingState& aState, const Feed& aFeed)
 {
   const TimePoint began = ServingState::Now();
-  if (!aFrom) {
-    auto newest = co_await ReadNewest(aState, aFeed.topic);
-    if (!newest) {
-      co_return FeedRead{};
-    }
-    aFeed.replace(*newest, began);
-    co_return FeedRead{ newest->next, began };
+  auto newest = co_await ReadNewest(aState, aFeed.topic);
+  if (!newest) {
+    co_return FeedRead{};
   }
-  HttpRequest request = aState.wire.store.read(aFeed.topic, *aFrom, aWait);
+  aFeed.replace(*newest, began);
+  co_return FeedRead{ newest->next, began };
+}
+
+/** Reads on by one answer of the store, which may hold only a part of what is
+ * new. */
+Task<FeedRead>
+ReadPart(ServingState& aState, const Feed& aFeed, Position aFrom, Millis aWait)
+{
+  const TimePoint began = ServingState::Now();
+  HttpRequest request = aState.wire.store.read(aFeed.topic, aFrom, aWait);
   const StorePurpose purpose{ "read", aFeed.topic };
   auto reply = co_await CallStore(aState, purpose, std::move(request), aWait);
   if (!reply) {
     co_return FeedRead{ aFrom, std::nullopt };
   }
-  auto page = aState.wire.store.readPage(*reply, *aFrom);
+  auto page = aState.wire.store.readPage(*reply, aFrom);
   if (!page && page.error().code == ErrorCode::eConflict) {
     aState.log.Emit(Event("store.history_dropped")
                       .With("topic", NameOf(aFeed.topic))
-                      .With("position", aFrom->value));
+                      .With("position", aFrom.value));
     co_return FeedRead{};
   }
-  if (!page) {
+  const bool stuck = page && page->more && page->records.empty();
+  if (!page || stuck) {
     co_return FeedRead{ aFrom, std::nullopt };
   }
   // A call that was held until its time was over found nothing until then.
@@ -110,7 +115,24 @@
   for (const KeyedRecord& record : page->records) {
     aFeed.apply(record, asOf);
   }
-  co_return FeedRead{ page->next, asOf };
+  co_return FeedRead{ page->next, asOf, page->more };
+}
+
+/** Brings the copy up to date. */
+Task<FeedRead>
+Read(ServingState& aState,
+     const Feed& aFeed,
+     std::optional<Position> aFrom,
+     Millis aWait)
+{
+  if (!aFrom) {
+    co_return co_await ReadWhole(aState, aFeed);
+  }
+  FeedRead read = co_await ReadPart(aState, aFeed, *aFrom, aWait);
+  while (read.more) {
+    read = co_await ReadPart(aState, aFeed, *read.next, Millis(0));
+  }
+  co_return read;
 }
 
 void
