A whole read of the list forgets no newer record that a word has told

An older record can undo a newer one: while a daemon reads the whole list, a word tells that an engine leaves (record 22); the read is as of 20, and what was known of newer records was forgotten with it. A late datagram with record 21 would then list the engine again, and it would get requests until the next read. Only what the read covers is forgotten now.

The test failed before: record 21 was taken as news after 22.

--- a/src/coord/ListCopy.h
+++ b/src/coord/ListCopy.h
@@ -54,15 +54,18 @@
       known = aPosition;
     }
     if (this->newest.size() > kMostKeys) {
-      this->Replaced(aPosition);
+      this->Replaced(this->Highest());
     }
     return news;
   }
-  /** The whole list was read; it holds all records before aEnd. */
+  /** The whole list was read; it holds all records before aEnd. A word may
+   * have told newer ones while it was on its way; these stay known. */
   void Replaced(Position aEnd)
   {
     this->floor = std::max(this->floor, aEnd);
-    this->newest.clear();
+    std::erase_if(this->newest, [this](const auto& aPair) {
+      return aPair.second < this->floor;
+    });
   }
 
   /** A change that this daemon has read in the store. */
@@ -85,6 +88,16 @@
   }
 
 private:
+  /** The newest record that was applied. */
+  [[nodiscard]] Position Highest() const
+  {
+    Position highest;
+    for (const auto& [key, position] : this->newest) {
+      highest = std::max(highest, position);
+    }
+    return highest;
+  }
+
   std::map<std::string, Position> newest;
   Position floor;
   std::deque<ListChange> changes;
--- a/test/correctness/StoreRelayTest.cpp
+++ b/test/correctness/StoreRelayTest.cpp
@@ -117,6 +117,16 @@
   CHECK(copy.Advance("e2", Position{ 20 }));
 }
 
+// The whole list was read from before a removal that a word has told already.
+TEST_CASE("a whole list that is older than a word does not undo it")
+{
+  ListCopy copy;
+  CHECK(copy.Advance("e1", Position{ 22 }));
+  copy.Replaced(Position{ 20 });
+  CHECK_FALSE(copy.Advance("e1", Position{ 21 }));
+  CHECK(copy.Advance("e2", Position{ 21 }));
+}
+
 TEST_CASE("a change is told for a while, and the newest ones if there are many")
 {
   ListCopy copy;
