An outage of the store is one for all daemons, and long enough for entries to lapse

Their engines went without saying so first, just as a daemon that the store had turned away was let in again.

Cause: any daemon's first answered call after a failed one counted as the store's return, for itself and, by its word, for all; what vanished from the list within two seconds of it was taken for an entry that lapsed and used until two seconds after the return. Daemons that had been served all along so kept engines that had left. A single failed call was enough.

Now: an outage is a time in which the store answered no daemon, by all that is known here, in which this daemon's own calls failed, and which is as long as two renewals of an entry; a shorter one lapses none. And what was in a read after the return has not lapsed. Only the rest is used until two seconds after the return, checked at each choice instead of at the next word (up to 150 ms later). No daemon tells its return any more; the field's number is reserved, and a test sends it as an earlier release would.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -20,26 +20,23 @@
   }
   backend.entry = aEntry;
   backend.leaving = backend.leaving || aEntry.leaving;
-  backend.goneAt.reset();
+  backend.usedUntil.reset();
 }
 
 void
-BackendTable::Remove(const InstanceId& aId,
-                     std::optional<TimePoint> aStoreReturned,
-                     TimePoint aNow)
+BackendTable::Remove(const InstanceId& aId, std::optional<TimePoint> aUsedUntil)
 {
   const auto found = this->backends.find(aId);
   if (found == this->backends.end()) {
     return;
   }
-  const bool lapsed = aStoreReturned && aNow - *aStoreReturned < kRelistTime &&
-                      !found->second.leaving;
-  if (!lapsed) {
+  Backend& backend = found->second;
+  if (!aUsedUntil || backend.leaving) {
     this->backends.erase(found);
     return;
   }
-  if (!found->second.goneAt) {
-    found->second.goneAt = *aStoreReturned + kRelistTime;
+  if (!backend.usedUntil) {
+    backend.usedUntil = aUsedUntil;
   }
 }
 
@@ -48,7 +45,7 @@
 {
   std::vector<InstanceId> dropped;
   for (const auto& [id, backend] : this->backends) {
-    if (backend.goneAt && *backend.goneAt <= aNow) {
+    if (backend.Lapsed(aNow)) {
       dropped.push_back(id);
     }
   }
@@ -81,7 +78,7 @@
   std::uint64_t digest = 0;
   for (const auto& [id, backend] : this->backends) {
     const BackendEntry& entry = backend.entry;
-    if (entry.leaving || backend.goneAt) {
+    if (entry.leaving || backend.usedUntil) {
       continue;
     }
     std::uint64_t hash =
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -47,8 +47,9 @@
   BackendLoad own;      // sent by this daemon
   BackendLoad others;   // sent by the other daemons, by their last word
   bool leaving = false; // by the list, its own answer or another daemon
-  std::optional<TimePoint> goneAt; // its entry went while the store was away
-  TimePoint sentAt;                // the last send to it; 0: none
+  /** Its entry may have lapsed with the store; it is used until then. */
+  std::optional<TimePoint> usedUntil;
+  TimePoint sentAt;        // the last send to it; 0: none
   double failureShare = 0; // of the newest answers, newer ones count more
   TimePoint pausedUntil;   // not chosen before, after failures in a row
   unsigned failuresInRow = 0;
@@ -57,6 +58,13 @@
    * while it had nothing else to do. */
   TimePoint progressAt;
 
+  /** Its entry is missing, and the time in which it may be listed again is
+   * over. */
+  [[nodiscard]] bool Lapsed(TimePoint aNow) const
+  {
+    return this->usedUntil && *this->usedUntil <= aNow;
+  }
+
   /** It has work of this daemon and nothing has come from it for too long: it
    * hangs, or the path to it is dead, and more requests would hang with it. */
   [[nodiscard]] bool Stalled(TimePoint aNow) const
@@ -83,9 +91,6 @@
 class BackendTable
 {
 public:
-  /** How long a back end whose entry lapsed while the store was away is still
-   * used: those that live are listed again within two seconds of its return. */
-  static constexpr Millis kRelistTime{ 2000 };
   /** Failures in a row after which a back end is passed over for a while. */
   static constexpr unsigned kPauseAfter = 2;
   /** First pause; doubles up to the longest. An engine that has crashed is back
@@ -96,11 +101,9 @@
   /** Takes in an entry. A new life under a known id starts anew. */
   void Put(const BackendEntry& aEntry);
   /** Its entry is gone.
-   * \param aStoreReturned when the store was last reached again after it had
-   *   been away; such entries may have lapsed only for that. */
-  void Remove(const InstanceId& aId,
-              std::optional<TimePoint> aStoreReturned,
-              TimePoint aNow);
+   * \param aUsedUntil set when the entry may have lapsed with the store; one
+   *   that said before that it leaves is dropped at once all the same */
+  void Remove(const InstanceId& aId, std::optional<TimePoint> aUsedUntil);
   /** Drops what lapsed and was not listed again in time.
    * \return what was dropped */
   std::vector<InstanceId> Expire(TimePoint aNow);
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -33,8 +33,8 @@
        const PlacementRequest& aRequest,
        TimePoint aNow)
 {
-  return !aBackend.leaving && aBackend.pausedUntil <= aNow &&
-         !aBackend.Stalled(aNow) &&
+  return !aBackend.leaving && !aBackend.Lapsed(aNow) &&
+         aBackend.pausedUntil <= aNow && !aBackend.Stalled(aNow) &&
          !aRequest.passedOver.contains(aBackend.entry.id);
 }
 
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -43,19 +43,19 @@
               const ListRead& aRead)
 {
   const Backend* known = aState.backends.Find(aId);
-  if (known == nullptr || known->goneAt) {
+  if (known == nullptr || known->usedUntil) {
     return;
   }
   LogBackend(aState, *known, "gone", aPosition, aRead);
   const TimePoint now = ServingState::Now();
-  aState.backends.Remove(aId, aState.storeReturned, now);
-  const Backend* kept = aState.backends.Find(aId);
-  if (kept != nullptr) {
-    aState.log.Emit(
-      Event("backend.kept")
-        .With("backend", aId)
-        .With("for_ms", (*kept->goneAt - now).count())
-        .With("store_returned_ms_ago", (now - *aState.storeReturned).count()));
+  // All entries here were there when the copy was last known to be current.
+  const TimePoint listed = aState.listFreshness.AsOf().value_or(TimePoint{});
+  aState.backends.Remove(aId, aState.storeOutage.UsedUntil(listed, now));
+  if (const Backend* kept = aState.backends.Find(aId)) {
+    aState.log.Emit(Event("backend.kept")
+                      .With("backend", aId)
+                      .With("for_ms", (*kept->usedUntil - now).count())
+                      .With("copy_ms_old", (now - listed).count()));
   }
 }
 
@@ -96,7 +96,7 @@
     return used;
   }
   const bool same =
-    known != nullptr && known->entry == *entry && !known->goneAt.has_value();
+    known != nullptr && known->entry == *entry && !known->usedUntil.has_value();
   const bool isNew = known == nullptr;
   const bool leaves = entry->leaving && (isNew || !known->entry.leaving);
   aState.backends.Put(*entry);
--- a/src/serve/ServingSettings.h
+++ b/src/serve/ServingSettings.h
@@ -43,6 +43,7 @@
   std::uint16_t metricsPort = 0;
   std::optional<Endpoint> store;
   std::optional<Endpoint> cloud;
+  Millis heartbeat{ 1200 }; // back ends renew their entries this often
   bool reportsUsage = false;
   bool ordersEngines = false;
   ServingBounds bounds;
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -29,6 +29,7 @@
   , moves(ExposureLimits{ settings.bounds.exposureShare })
   , evidence(settings.id.value + "/" + std::to_string(aLife))
   , peers(settings.id)
+  , storeOutage(settings.heartbeat)
   , random(Hash64(settings.id.value, aLife))
 {
 }
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -18,6 +18,7 @@
 #include "coord/QuotaExchange.h"
 #include "coord/RateMeter.h"
 #include "coord/RetryWindow.h"
+#include "coord/StoreOutage.h"
 #include "coord/TeamQuotas.h"
 #include "coord/TopicFreshness.h"
 #include "coord/UsageWindows.h"
@@ -95,8 +96,8 @@
   PeerTable peers;
   Position dutyFence; // of the duty this daemon holds; 0: none
   Position dutyEnd;   // where the duties' records end, as far as read here
-  std::optional<TimePoint> storeLost;     // since when it is not reached
-  std::optional<TimePoint> storeReturned; // when it was reached again
+  std::optional<TimePoint> storeLost; // since when it is not reached
+  StoreOutage storeOutage;
   /** Tells the other daemons of a prompt that was just sent, with the tokens to
    * be read and the part that other requests may share. */
   std::function<
--- a/src/serve/StoreClient.cpp
+++ b/src/serve/StoreClient.cpp
@@ -20,13 +20,13 @@
 }
 
 void
-NoteReached(ServingState& aState)
+NoteReached(ServingState& aState, TimePoint aCalled)
 {
+  aState.storeOutage.Answered(aCalled);
   if (!aState.storeLost) {
     return;
   }
-  aState.storeReturned = ServingState::Now();
-  const Millis away = *aState.storeReturned - *aState.storeLost;
+  const Millis away = ServingState::Now() - *aState.storeLost;
   aState.storeLost.reset();
   aState.log.Emit(Event("dependency.regained")
                     .With("name", "store")
@@ -34,8 +34,9 @@
 }
 
 void
-NoteLost(ServingState& aState, const std::string& aWhy)
+NoteLost(ServingState& aState, TimePoint aCalled, const std::string& aWhy)
 {
+  aState.storeOutage.Failed(aCalled);
   aState.metrics.Count("toucanshed_store_failures_total");
   if (aState.storeLost) {
     return;
@@ -75,17 +76,18 @@
                                kStoreCallTime + aWait,
                                kStoreCallTime };
   aState.metrics.Count("toucanshed_store_calls_total", LabelsOf(aPurpose));
+  const TimePoint called = ServingState::Now();
   auto reply = co_await Fetch(
     aState.pool.First(), *aState.settings.store, std::move(aRequest), timeouts);
   if (!reply) {
-    NoteLost(aState, reply.error().message);
+    NoteLost(aState, called, reply.error().message);
     co_return Fail(reply.error().code, reply.error().message);
   }
   const unsigned status = reply->result_int();
   if (status == kUnavailable || status == kTooMany) {
-    NoteLost(aState, "status " + std::to_string(status));
+    NoteLost(aState, called, "status " + std::to_string(status));
   } else {
-    NoteReached(aState);
+    NoteReached(aState, called);
   }
   co_return std::move(*reply);
 }
--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -37,9 +37,6 @@
 constexpr double kStandsInPart = 0.5;
 /** How often it looks whether that is so. */
 constexpr Millis kLook{ 100 };
-/** How long it is told that the store has returned; entries that lapsed with
- * it are kept for less. */
-constexpr Millis kReturnTold{ 3000 };
 
 /** One topic and what to do with its records. */
 struct Feed
@@ -142,12 +139,6 @@
   serving::StoreWord word;
   word.set_id(aState.settings.id.value);
   aFeed.describe(word, now - aAsOf);
-  const bool returned = aState.storeReturned.has_value() &&
-                        now - *aState.storeReturned <= kReturnTold;
-  if (returned) {
-    const Millis ago = now - *aState.storeReturned;
-    word.set_store_returned_ms(static_cast<std::uint64_t>(ago.count()) + 1);
-  }
   aState.tellStore(word);
 }
 
@@ -318,23 +309,19 @@
 TakeStoreWord(ServingState& aState, const serving::StoreWord& aWord)
 {
   const TimePoint now = ServingState::Now();
-  if (aWord.store_returned_ms() > 0) {
-    const auto ago = static_cast<std::int64_t>(aWord.store_returned_ms());
-    const TimePoint returned = now - Millis(ago);
-    if (!aState.storeReturned || *aState.storeReturned < returned) {
-      aState.storeReturned = returned;
-    }
-  }
   if (aWord.operator_end() > 0) {
     const auto age = static_cast<std::int64_t>(aWord.operator_age_ms());
+    const TimePoint asOf = now - Millis(age);
     const bool same = aState.operatorEnd.value >= aWord.operator_end();
-    aState.operatorFreshness.Told(now - Millis(age), same);
+    aState.storeOutage.Answered(asOf);
+    aState.operatorFreshness.Told(asOf, same);
   }
   if (!aWord.list_read() || !aState.backendsRead) {
     return;
   }
   const auto age = static_cast<std::int64_t>(aWord.list_age_ms());
   const ListRead read{ DaemonId{ aWord.id() }, now - Millis(age) };
+  aState.storeOutage.Answered(read.asOf);
   for (const serving::ListRecord& news : aWord.news()) {
     if (news.leaving()) {
       TakeLeaving(
--- a/test/failure/StoreFeedTest.cpp
+++ b/test/failure/StoreFeedTest.cpp
@@ -177,6 +177,36 @@
   CHECK(world.state->backends.All().empty());
 }
 
+// One failed call is taken for an outage, and a leaving engine for a lapsed
+// one.
+TEST_CASE("an engine that leaves after one failed call gets nothing more")
+{
+  PlatformWorld world(22290);
+  auto& leaving = world.AddEngine("e1", "plain");
+  auto& staying = world.AddEngine("e2", "plain");
+  world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  world.store.Put(kServers, "e2", world.EntryOf("e2"));
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
+    co_await Settle();
+    aWorld.store.down = true;
+    while (!aWorld.state->storeLost) {
+      co_await Sleep(std::chrono::milliseconds(5));
+    }
+    aWorld.store.down = false;
+    aWorld.store.Put(kServers, "e1", std::nullopt);
+    co_await SettleList();
+    for (int i = 0; i < 8; ++i) {
+      CallerSend send;
+      send.attempt = "a" + std::to_string(i);
+      const CallerView seen = co_await aWorld.Ask(send);
+      CHECK(seen.status == 200);
+    }
+  }(world));
+  CHECK(leaving.arrivals.empty());
+  CHECK(staying.arrivals.size() == 8);
+}
+
 // A reader that lags takes the first of many records for the whole news.
 TEST_CASE("a list of which only a part was read is not taken as current")
 {
@@ -214,6 +244,7 @@
   PlatformWorld world(22240);
   world.AddEngine("e1", "plain");
   world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  world.state->storeOutage = StoreOutage(Millis(300));
   unsigned during = 0;
   world.Run([](PlatformWorld& aWorld, unsigned& aDuring) -> Task<void> {
     aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
@@ -231,14 +262,15 @@
   const Backend* kept = world.state->backends.Find(InstanceId{ "e1" });
   REQUIRE(kept != nullptr);
   // Not listed again in time, it is taken as gone.
-  world.state->backends.Expire(ServingState::Now() + BackendTable::kRelistTime);
+  world.state->backends.Expire(ServingState::Now() + StoreOutage::kRelistTime);
   CHECK(world.state->backends.All().empty());
 }
 
 TEST_CASE("an engine that leaves as others regain the store gets nothing more")
 {
-  // The store turned one daemon away and served this one all along. The other
-  // tells its return; the engine that leaves right after it has not lapsed.
+  // The store turned one daemon away and served this one all along. The other,
+  // of an earlier release, tells its return; the engine that leaves right after
+  // it has not lapsed.
   PlatformWorld world(22270);
   auto& leaving = world.AddEngine("e1", "plain");
   auto& staying = world.AddEngine("e2", "plain");
@@ -248,7 +280,9 @@
     aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
     co_await Settle();
     serving::StoreWord word;
-    word.set_store_returned_ms(1);
+    constexpr int kStoreReturnedMs = 8;
+    serving::StoreWord::GetReflection()->MutableUnknownFields(&word)->AddVarint(
+      kStoreReturnedMs, 1);
     TakeStoreWord(*aWorld.state, word);
     aWorld.store.Put(kServers, "e1", std::nullopt);
     co_await SettleList();
