Two tests fail: daemons among hundreds wait for seconds after a read that failed

One read of the list got no answer at 2.87 s; the daemon then waited 3.2 s (11 ms for each of 295 daemons), met a dropped history at 6.80 s, and read the list at 7.00 s. In the median daemons learn of a leaving engine 0.20 s after the first of them, 99 of 100 within 1.82 s.

--- a/test/failure/StoreFeedTest.cpp
+++ b/test/failure/StoreFeedTest.cpp
@@ -25,6 +25,19 @@
   co_await Sleep(std::chrono::milliseconds(900));
 }
 
+/** So many other daemons are heard that this one does not read for all. */
+void
+HearOthers(ServingState& aState, int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    serving::DaemonWord other;
+    other.set_id("other-" + std::to_string(i));
+    other.set_life(1);
+    other.set_sequence(1);
+    aState.peers.Hear(other, ServingState::Now());
+  }
+}
+
 } // namespace
 
 TEST_CASE("a change of the configuration is in force at once and never reverts")
@@ -152,15 +165,8 @@
   world.Run([](PlatformWorld& aWorld,
                std::size_t& aBefore,
                std::size_t& aAfter) -> Task<void> {
-    const TimePoint now = ServingState::Now();
     constexpr int kOthers = 20; // enough that two of them go before this one
-    for (int i = 0; i < kOthers; ++i) {
-      serving::DaemonWord other;
-      other.set_id("other-" + std::to_string(i));
-      other.set_life(1);
-      other.set_sequence(1);
-      aWorld.state->peers.Hear(other, now);
-    }
+    HearOthers(*aWorld.state, kOthers);
     REQUIRE_FALSE(aWorld.state->ReadsForAll());
     aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
     co_await Settle();
@@ -177,6 +183,52 @@
   CHECK(world.state->backends.All().empty());
 }
 
+// Among hundreds a daemon whose read failed once waits for seconds.
+TEST_CASE("a list whose read failed once is read again soon among hundreds")
+{
+  constexpr int kOthers = 294;
+  PlatformWorld world(22300);
+  world.AddEngine("e1", "plain");
+  world.store.Put(kServers, "e1", world.EntryOf("e1"));
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    aWorld.state->pool.First().Spawn(FollowBackends(*aWorld.state));
+    co_await Settle();
+    HearOthers(*aWorld.state, kOthers);
+    aWorld.store.Put(kServers, "e1", std::nullopt);
+    aWorld.store.down = true;
+    serving::StoreWord word;
+    word.set_list_read(true);
+    word.set_list_digest(BackendTable().Digest());
+    TakeStoreWord(*aWorld.state, word);
+    while (!aWorld.state->storeLost) {
+      co_await Sleep(std::chrono::milliseconds(5));
+    }
+    aWorld.store.down = false;
+    co_await SettleList();
+  }(world));
+  CHECK(world.state->backends.All().empty());
+}
+
+// Among hundreds a dropped history delays the configuration by seconds.
+TEST_CASE("a topic whose history was dropped is read again at once")
+{
+  constexpr int kOthers = 294;
+  PlatformWorld world(22310);
+  world.store.Put(kOperator, "config", PlatformWorld::CatalogText(3));
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    HearOthers(*aWorld.state, kOthers);
+    aWorld.state->pool.First().Spawn(FollowOperator(*aWorld.state));
+    co_await Settle();
+    aWorld.store.Put(kOperator, "config", PlatformWorld::CatalogText(9));
+    aWorld.store.DropHistory(kOperator);
+    serving::StoreWord word;
+    word.set_operator_end(2);
+    TakeStoreWord(*aWorld.state, word);
+    co_await SettleList();
+  }(world));
+  CHECK(world.state->catalog->version == 9);
+}
+
 // One failed call is taken for an outage, and a leaving engine for a lapsed
 // one.
 TEST_CASE("an engine that leaves after one failed call gets nothing more")
