A failed read of the store is tried again after 0.2 s, then ever later

What it led to: a daemon among 295 learned 4.8 s late that 13 engines leave (4 s are allowed; the store was in disruption, so no rule broke), as it waited 3.2 s after one read without an answer. The long wait was meant for outages, in which 295 daemons must not ask a store in trouble five times a second each; it came after the first failure already. Now the pause begins at 200 ms and doubles up to the same bound, so one lost call costs 0.2 s, and an outage the same rate of calls after a second or two.

--- a/src/serve/StoreFeed.cpp
+++ b/src/serve/StoreFeed.cpp
@@ -4,6 +4,7 @@
 #include "OperatorRecords.h"
 #include "ServingState.h"
 #include "StoreClient.h"
+#include "coord/ReadRetry.h"
 #include "edge/Worker.h"
 
 #include <functional>
@@ -12,13 +13,6 @@
 
 namespace {
 
-/** Between tries while the store is not reached: often enough that a change
- * made as it returns is in force within the bound, and no more than five calls
- * a second from each daemon to a store that is already in trouble. */
-constexpr Millis kRetryPause{ 200 };
-/** Among many daemons a store in trouble is asked less often by those that do
- * not read for all: so much later for each daemon, 90 calls a second in all. */
-constexpr Millis kRetryForEach{ 11 };
 /** The list is read this often as a part of the time in which an entry that
  * says "leaving" must be obeyed; the rest is for a slow answer. Reading at each
  * heartbeat instead costs a call for every beat of every back end. */
@@ -142,13 +136,6 @@
   aState.tellStore(word);
 }
 
-Millis
-RetryPause(const ServingState& aState, bool aReads)
-{
-  const auto daemons = static_cast<std::int64_t>(aState.Daemons());
-  return aReads ? kRetryPause : std::max(kRetryPause, kRetryForEach * daemons);
-}
-
 /** Tells of a read that another daemon should have made. */
 void
 LogOwnRead(ServingState& aState, const Feed& aFeed, TimePoint aBegan)
@@ -165,6 +152,7 @@
 FollowForever(ServingState& aState, Feed aFeed)
 {
   std::optional<Position> next;
+  ReadRetry retry;
   while (true) {
     const TimePoint began = ServingState::Now();
     const auto turn = aState.ReaderTurn();
@@ -189,9 +177,11 @@
     const FeedRead read = co_await Read(aState, aFeed, next, wait);
     next = read.next;
     if (!read.asOf) {
-      co_await Sleep(RetryPause(aState, reads));
+      // Those that read for all are few and ask on at the shortest pause.
+      co_await Sleep(retry.Failed(reads ? 1 : aState.Daemons()));
       continue;
     }
+    retry.Succeeded();
     if (!first) {
       LogOwnRead(aState, aFeed, began);
     }
