A read of the list answers only contradictions that it is newer than

While a daemon reads the list, a reader's word may tell that it holds something else. The end of the daemon's own read then cleared that, though the store was asked before the other daemon's read; the copy was believed until the next word, up to 1.4 s later among hundreds. Found while tracing late knowledge of leaving engines; not seen to break a rule. The time of the contradiction is kept, and only a read made after it clears it.

The new test failed before: the copy was not due after the older read.

--- a/src/coord/TopicFreshness.h
+++ b/src/coord/TopicFreshness.h
@@ -5,6 +5,7 @@
 
 #include "base/Types.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace toucanshed {
@@ -23,7 +24,9 @@
   void Read(TimePoint aAsOf)
   {
     this->Extend(aAsOf);
-    this->behind = false;
+    if (this->contradicted && *this->contradicted <= aAsOf) {
+      this->contradicted.reset();
+    }
   }
   /** Another daemon has read it.
    * \param aAsOf when, by this daemon's clock
@@ -35,17 +38,19 @@
       return;
     }
     const bool newer = !this->asOf || aAsOf > *this->asOf;
-    this->behind = this->behind || newer;
+    if (newer) {
+      this->contradicted = std::max(this->contradicted.value_or(aAsOf), aAsOf);
+    }
   }
   /** Whether it must be read here.
    * \param aMost how old a copy may become */
   [[nodiscard]] bool Due(TimePoint aNow, Millis aMost) const
   {
-    return this->behind || !this->asOf || aNow - *this->asOf >= aMost;
+    return this->Behind() || !this->asOf || aNow - *this->asOf >= aMost;
   }
 
   /** Somebody who has read it since holds something else than is here. */
-  [[nodiscard]] bool Behind() const { return this->behind; }
+  [[nodiscard]] bool Behind() const { return this->contradicted.has_value(); }
   /** As of when the copy here is known to be current; nothing if never. */
   [[nodiscard]] std::optional<TimePoint> AsOf() const { return this->asOf; }
 
@@ -59,7 +64,8 @@
   }
 
   std::optional<TimePoint> asOf;
-  bool behind = false;
+  /** As of when another daemon found something else than was here. */
+  std::optional<TimePoint> contradicted;
 };
 
 } // namespace toucanshed
--- a/test/correctness/StoreRelayTest.cpp
+++ b/test/correctness/StoreRelayTest.cpp
@@ -104,6 +104,19 @@
   CHECK_FALSE(copy.Due(TimePoint{ 2200 }, kMost));
 }
 
+// A slow read ends after another daemon's newer one has shown that it lags.
+TEST_CASE("a copy that was contradicted after its read was made is read again")
+{
+  constexpr Millis kMost{ 1300 };
+  TopicFreshness copy;
+  copy.Read(TimePoint{ 1000 });
+  copy.Told(TimePoint{ 2050 }, false);
+  copy.Read(TimePoint{ 2040 });
+  CHECK(copy.Due(TimePoint{ 2100 }, kMost));
+  copy.Read(TimePoint{ 2110 });
+  CHECK_FALSE(copy.Due(TimePoint{ 2200 }, kMost));
+}
+
 TEST_CASE("a record by word that is older than what is here changes nothing")
 {
   // An engine left while a datagram that listed it was on its way. Listed
