A send looks again whether its engine leaves once it is connected

The hook that asks before a request's first byte stood already; the sends to engines now use it. The request goes to another engine, as nothing was sent.

The new test failed before (1 request at the engine that leaves). An entry that is listed again after it was missing is logged as back.

--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -98,12 +98,13 @@
   const bool same =
     known != nullptr && known->entry == *entry && !known->usedUntil.has_value();
   const bool isNew = known == nullptr;
+  const bool isBack = !isNew && known->usedUntil.has_value();
   const bool leaves = entry->leaving && (isNew || !known->entry.leaving);
   aState.backends.Put(*entry);
-  if (isNew || leaves) {
+  if (isNew || leaves || isBack) {
     LogBackend(aState,
                *aState.backends.Find(id),
-               leaves ? "leaving" : "new",
+               leaves ? "leaving" : (isNew ? "new" : "back"),
                aRecord.position,
                aRead);
   }
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -219,6 +219,14 @@
                                    : SendOutcome::eMayHaveRun;
 }
 
+bool
+RequestRun::StillMeant(const InstanceId& aBackend) const
+{
+  const Backend* backend = this->state.backends.Find(aBackend);
+  return backend != nullptr && !backend->leaving &&
+         !backend->Lapsed(ServingState::Now());
+}
+
 Task<SendOutcome>
 RequestRun::Send(Placement aPlacement)
 {
@@ -256,12 +264,14 @@
                        part);
   this->state.promptRates[this->request.service].Add(
     static_cast<double>(aPlacement.uncachedTokens), this->sentAt);
-  auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
-                                              *endpoint,
-                                              std::move(message),
-                                              timeouts,
-                                              false,
-                                              this->abort);
+  auto exchange = co_await HttpExchange::Open(
+    this->state.pool.First(),
+    *endpoint,
+    std::move(message),
+    timeouts,
+    false,
+    this->abort,
+    [this, &aPlacement] { return this->StillMeant(aPlacement.backend); });
   SendOutcome outcome = SendOutcome::eNotRun;
   if (exchange) {
     outcome = co_await this->Relay(*exchange, aPlacement);
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -52,6 +52,9 @@
   [[nodiscard]] SendAdvice Advise(const Placement& aPlacement);
   [[nodiscard]] bool MaySendAgain();
   Task<SendOutcome> Send(Placement aPlacement);
+  /** Whether a back end that was chosen may still be sent to, once there is a
+   * connection to it. */
+  [[nodiscard]] bool StillMeant(const InstanceId& aBackend) const;
   Task<SendOutcome> Relay(HttpExchange& aExchange, const Placement& aPlacement);
   Task<SendOutcome> RelayStream(HttpExchange& aExchange,
                                 const Placement& aPlacement);
--- a/test/failure/StoreFeedTest.cpp
+++ b/test/failure/StoreFeedTest.cpp
@@ -38,6 +38,19 @@
   }
 }
 
+/** Another daemon has read that an engine leaves. */
+void
+TakeLeavingWord(ServingState& aState, const InstanceId& aId)
+{
+  serving::StoreWord word;
+  word.set_list_read(true);
+  auto* news = word.add_news();
+  news->set_key(aId.value);
+  news->set_position(8);
+  news->set_leaving(true);
+  TakeStoreWord(aState, word);
+}
+
 } // namespace
 
 TEST_CASE("a change of the configuration is in force at once and never reverts")
@@ -183,6 +196,30 @@
   CHECK(world.state->backends.All().empty());
 }
 
+// A request placed just before the word that its engine leaves goes there.
+TEST_CASE("a request that waits to connect as its engine leaves goes elsewhere")
+{
+  PlatformWorld world(22320);
+  auto& one = world.AddEngine("e1", "plain");
+  auto& other = world.AddEngine("e2", "plain");
+  std::string chosen;
+  world.state->tellSent = [&](const InstanceId& aId, auto, const auto&) {
+    if (chosen.empty()) {
+      chosen = aId.value;
+      TakeLeavingWord(*world.state, aId);
+    }
+  };
+  unsigned status = 0;
+  world.Run([](PlatformWorld& aWorld, unsigned& aStatus) -> Task<void> {
+    CallerSend send;
+    const CallerView seen = co_await aWorld.Ask(std::move(send));
+    aStatus = seen.status;
+  }(world, status));
+  CHECK(status == 200);
+  CHECK(one.arrivals.size() == (chosen == "e1" ? 0 : 1));
+  CHECK(other.arrivals.size() == (chosen == "e2" ? 0 : 1));
+}
+
 // Among hundreds a daemon whose read failed once waits for seconds.
 TEST_CASE("a list whose read failed once is read again soon among hundreds")
 {
