--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -264,21 +264,25 @@
                        part);
   this->state.promptRates[this->request.service].Add(
     static_cast<double>(aPlacement.uncachedTokens), this->sentAt);
-  auto exchange = co_await HttpExchange::Open(
-    this->state.pool.First(),
-    *endpoint,
-    std::move(message),
-    timeouts,
-    false,
-    this->abort,
-    [this, &aPlacement] { return this->StillMeant(aPlacement.backend); });
+  MaySend stillMeant = [this, id = aPlacement.backend] {
+    return this->StillMeant(id);
+  };
+  auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
+                                              *endpoint,
+                                              std::move(message),
+                                              timeouts,
+                                              false,
+                                              this->abort,
+                                              std::move(stillMeant));
   SendOutcome outcome = SendOutcome::eNotRun;
   if (exchange) {
     outcome = co_await this->Relay(*exchange, aPlacement);
     exchange->Drop();
   } else {
     outcome = this->Classify(exchange.error());
-    this->lastWhy = exchange.error().message;
+    this->lastWhy = this->StillMeant(aPlacement.backend)
+                      ? exchange.error().message
+                      : "the back end left before the send";
   }
   if (outcome == SendOutcome::eMayHaveRun || outcome == SendOutcome::eLate) {
     this->mayHaveRun = true;
