--- a/src/serve/RequestRelay.cpp
+++ b/src/serve/RequestRelay.cpp
@@ -27,6 +27,7 @@
     this->lastWhy = "another back end has the address";
     co_return SendOutcome::eNotRun;
   }
+  this->NoteLimit(aPlacement.backend, head);
   if (head.attempt != this->request.incoming.attempt) {
     // An answer that came late or twice, to somebody else's request.
     this->lastWhy = "answer of another request";
@@ -42,6 +43,26 @@
   co_return co_await this->RelayWhole(aExchange, aPlacement);
 }
 
+void
+RequestRun::NoteLimit(const InstanceId& aBackend, const BackendHead& aHead)
+{
+  if (aHead.unreadableLimit) {
+    this->state.log.Emit(
+      Event("backend.limit_unreadable").With("backend", aBackend));
+    return;
+  }
+  const bool news = this->state.engineLimits.Answered(aBackend, aHead.limit);
+  if (!news) {
+    return;
+  }
+  this->state.log.Emit(
+    Event("backend.limit")
+      .With("backend", aBackend)
+      .With("per_s", aHead.limit ? std::to_string(aHead.limit->perS) : "none")
+      .With("request", this->request.incoming.attempt)
+      .With("answer_ms", (ServingState::Now() - this->sentAt).count()));
+}
+
 void
 RequestRun::NoteBegun(const Placement& aPlacement)
 {
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -16,6 +16,7 @@
 namespace toucanshed {
 
 class BackendUse;
+struct BackendHead;
 struct ServingState;
 
 /** How one send to a back end ended. */
@@ -61,6 +62,8 @@
   Task<SendOutcome> RelayWhole(HttpExchange& aExchange,
                                const Placement& aPlacement);
   Task<bool> PassEvents(HttpExchange& aExchange, const Placement& aPlacement);
+  /** Takes in what an answer says of its engine's limit. */
+  void NoteLimit(const InstanceId& aBackend, const BackendHead& aHead);
   void NoteBegun(const Placement& aPlacement);
   /** Counts the send as evidence about its back end's version. */
   void Observe(const InstanceId& aBackend, SendOutcome aOutcome);
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -9,6 +9,7 @@
 #include "base/Random.h"
 #include "coord/BackendTable.h"
 #include "coord/Catalog.h"
+#include "coord/EngineLimits.h"
 #include "coord/Evidence.h"
 #include "coord/FactSet.h"
 #include "coord/ListCopy.h"
@@ -78,6 +79,7 @@
 
   std::shared_ptr<const Catalog> catalog; // null until it was read
   BackendTable backends;
+  EngineLimits engineLimits;
   bool backendsRead = false;
   ListCopy listCopy;
   TopicFreshness listFreshness;
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "ServingRequest.h"
+#include "base/RequestRate.h"
 #include "base/Result.h"
 #include "coord/BackendTable.h"
 #include "coord/MoveOrder.h"
@@ -37,6 +38,10 @@
   bool otherInstance = false; // another back end has the address now
   bool leaving = false;       // it closes the connection after this
   bool isStream = false;
+  /** What it takes from all daemons together; nothing when it is not in need.
+   */
+  std::optional<RequestRate> limit;
+  bool unreadableLimit = false; // it names one: what was known of it holds
 };
 
 /** The callers' protocol. */
--- a/standin/platform/Engine.cpp
+++ b/standin/platform/Engine.cpp
@@ -21,6 +21,9 @@
   HttpReply reply = MakeReply(aStatus, "body of " + this->id, "text/plain");
   reply.set("Attempt-Id", HeaderOf(aRequest, "Attempt-Id"));
   reply.set("Response-Seal", "seal-of-" + this->id);
+  if (!this->limit.empty()) {
+    reply.set("Server-Limit", this->limit);
+  }
   return reply;
 }
 
