All daemons together keep to the rate that an engine in need names

Class: a bound that belongs to all daemons, which each cannot keep alone: six daemons of 1 a second each send 24 in 4 s, and 295 that send a single request 295. So the rate is divided. One part for each request a second and three more, each of them one daemon's by rendezvous hashing over those that live; the others send the engine nothing, as a part of less than a request in some seconds is of no use to anyone. A part begins empty and saves up one request, so in 4 s all parts give out the rate and one request each, below the half of the rate and the 5 that are allowed beyond it. Who shares is known from the store's list and the words: a daemon uses no part before all others must have heard of it, nor while it hears half of those it knows or fewer, and a silent one's part is taken over after three times the silence, two after it has ceased to use it. Differing views so leave parts idle; they do not use one twice.

What one daemon learns from an answer all are told within 0.1 s as a limit is first named or falls, and with the regular words (8 engines in each). A send looks again once it is connected. What engines have no room for goes to others, else is refused at once with the time until the rate allows a request. When the limit is named no more, the rate doubles each second for 5 s.

Ruled out: equal parts for all (0.003 a second for each of 330), and a request in advance for each, which breaks the limit by itself among hundreds.

--- a/src/coord/EngineLimits.h
+++ b/src/coord/EngineLimits.h
@@ -1,34 +1,138 @@
 /** \file
- * The rates of requests that engines in need have named, from their answers.
+ * Holds all daemons together to the rates of requests that engines in need
+ * name in their answers.
  */
 #pragma once
 
 #include "base/RequestRate.h"
 #include "base/Types.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace toucanshed {
 
+class LimitSharers;
+
+/** What is known of one engine's limit. */
+struct LimitNews
+{
+  InstanceId engine;
+  std::int64_t born = 0; // the engine's life that named it
+  RequestRate rate;      // named last
+  bool ended = false;    // its answers name none any more
+  TimePoint asOf;        // of the answer, by this daemon's clock
+};
+
+/** Whether a request may be sent to an engine. */
+enum class LimitUse
+{
+  eFree,  // the engine has no limit
+  eTaken, // the limit has room for it
+  eNone,  // it has none now
+};
+
 /**
  * An engine in need names in each answer how many requests a second it takes
- * from all daemons together, for as long as it is in need.
+ * from all daemons together, for as long as it is in need. If each daemon kept
+ * to that alone, the engine would get it as many times over as there are
+ * daemons. So the rate is divided: into a few parts, as a part of less than a
+ * request in some seconds is of no use, and each part goes to one daemon. The
+ * others send there nothing. A part begins empty and saves up one request, or
+ * what it is given in half a second, so all of them together pass the rate by
+ * little.
+ *
+ * What one daemon learns from an answer all are told, so that those hold to it
+ * that have not sent there yet, and a daemon that starts.
  *
  * Thread safety: none; the owner serialises.
  */
 class EngineLimits
 {
 public:
+  /** Parts beyond one for each request a second. */
+  static constexpr double kSpareParts = 3;
+  /** What a part saves up at the most, if that is more than a request. */
+  static constexpr Millis kSaved{ 500 };
+  /** An engine that takes less is still sent so many, as only an answer can
+   * tell that it takes more again. */
+  static constexpr RequestRate kLeast{ 0.1 };
+  /** After an engine names no limit any more its rate doubles each second for
+   * so long; then it has none. All daemons at once would bring it into need
+   * again. */
+  static constexpr Millis kRecovery{ 5000 };
+  /** A limit that falls below this part of what was told is told at once. */
+  static constexpr double kToldFall = 0.7;
+  /** Limits in one regular word; each word has others. */
+  static constexpr std::size_t kMostTold = 8;
+
+  explicit EngineLimits(const LimitSharers& aSharers)
+    : sharers(aSharers)
+  {
+  }
+  EngineLimits(const EngineLimits&) = delete;
+  EngineLimits& operator=(const EngineLimits&) = delete;
+
   /** An answer of the engine came, and named the limit or none.
-   * \return whether that is news */
-  bool Answered(const InstanceId& aEngine, std::optional<RequestRate> aLimit);
+   * \return whether what is known of it has changed */
+  bool Answered(const InstanceId& aEngine,
+                std::int64_t aBorn,
+                std::optional<RequestRate> aLimit,
+                TimePoint aNow);
+  /** Another daemon tells what it knows. Older knowledge changes nothing.
+   * \return whether what is known of the limit has changed */
+  bool Told(const LimitNews& aNews, TimePoint aNow);
+  /** The engine has gone or begun another life. */
+  void Forget(const InstanceId& aEngine) { this->limits.erase(aEngine); }
+  /** Ends the limits of engines that have recovered. */
+  void Expire(TimePoint aNow);
+
+  /** Whether no engine has a limit. */
+  [[nodiscard]] bool Empty() const { return this->limits.empty(); }
+  /** Whether a request may be sent to the engine now; Take also counts it. */
+  [[nodiscard]] LimitUse Room(const InstanceId& aEngine, TimePoint aNow);
+  LimitUse Take(const InstanceId& aEngine, TimePoint aNow);
+  /** How long until the engine takes a further request, from whichever daemon;
+   * 0 when it has no limit. */
+  [[nodiscard]] Millis Wait(const InstanceId& aEngine, TimePoint aNow);
+  /** What the engine takes from all daemons together; nothing when it has no
+   * limit. */
+  [[nodiscard]] std::optional<RequestRate> RateOf(const InstanceId& aEngine,
+                                                  TimePoint aNow) const;
 
-  /** The limit that the engine named last; nothing when it is not in need. */
-  [[nodiscard]] std::optional<RequestRate> Of(const InstanceId& aEngine) const;
+  /** What the other daemons must hear at once; counts as told. */
+  std::vector<LimitNews> TakeUrgent();
+  [[nodiscard]] bool HasUrgent() const;
+  /** For a regular word; counts as told. */
+  std::vector<LimitNews> TakeForWord();
 
 private:
-  std::map<InstanceId, RequestRate> limits;
+  /** How often it is looked up whether a part belongs to this daemon. */
+  static constexpr Millis kPartLook{ 100 };
+
+  struct Limit
+  {
+    LimitNews news;
+    TimePoint endedAt;
+    double told = 0; // rate that the others know; 0: none
+    bool urgent = false;
+    // This daemon's part.
+    double saved = 0; // requests
+    TimePoint filled;
+    double partPerS = 0;
+    std::optional<TimePoint> partAt; // when it was looked up
+  };
+
+  [[nodiscard]] static RequestRate Rate(const Limit& aLimit, TimePoint aNow);
+  void Apply(Limit& aLimit, const LimitNews& aNews, TimePoint aNow);
+  void FindPart(Limit& aLimit, TimePoint aNow) const;
+  void Fill(Limit& aLimit, TimePoint aNow) const;
+
+  const LimitSharers& sharers;
+  std::map<InstanceId, Limit> limits;
+  InstanceId toldLast; // in a regular word
 };
 
 } // namespace toucanshed
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -51,7 +51,10 @@
   // All entries here were there when the copy was last known to be current.
   const TimePoint listed = aState.listFreshness.AsOf().value_or(TimePoint{});
   aState.backends.Remove(aId, aState.storeOutage.UsedUntil(listed, now));
-  if (const Backend* kept = aState.backends.Find(aId)) {
+  const Backend* kept = aState.backends.Find(aId);
+  if (kept == nullptr) {
+    aState.engineLimits.Forget(aId);
+  } else {
     aState.log.Emit(Event("backend.kept")
                       .With("backend", aId)
                       .With("for_ms", (*kept->usedUntil - now).count())
@@ -99,6 +102,10 @@
     known != nullptr && known->entry == *entry && !known->usedUntil.has_value();
   const bool isNew = known == nullptr;
   const bool isBack = !isNew && known->usedUntil.has_value();
+  const bool otherLife = !isNew && known->entry.born != entry->born;
+  if (otherLife) {
+    aState.engineLimits.Forget(id);
+  }
   const bool leaves = entry->leaving && (isNew || !known->entry.leaving);
   aState.backends.Put(*entry);
   if (isNew || leaves || isBack) {
@@ -153,6 +160,7 @@
 ExpireBackends(ServingState& aState, TimePoint aNow)
 {
   for (const InstanceId& id : aState.backends.Expire(aNow)) {
+    aState.engineLimits.Forget(id);
     aState.log.Emit(Event("backend.dropped").With("backend", id));
   }
 }
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -32,6 +32,10 @@
  * in it, each at a time of its own: told at once by hundreds, it would fill the
  * link of the daemon that reports it. */
 constexpr Millis kEndTold{ 800 };
+/** An engine's limit is told within so long of the answer that named it, at a
+ * random time: many daemons have such an answer at once, and the first word
+ * spares the others theirs. */
+constexpr std::uint64_t kLimitToldMs = 100;
 /** Daemons' ideas of true time differ by less than this. */
 constexpr Millis kClocksDiffer{ 50 };
 
@@ -65,6 +69,12 @@
   this->state.tellQuota = [this](const TeamId& aTeam) {
     this->TellQuota(aTeam);
   };
+  this->state.tellLimits = [this] {
+    if (!this->tellsLimits) {
+      this->tellsLimits = true;
+      this->state.pool.First().Spawn(this->TellLimits());
+    }
+  };
   this->state.tellStore = [this](const serving::StoreWord& aWord) {
     serving::Datagram datagram;
     *datagram.mutable_store() = aWord;
@@ -115,6 +125,9 @@
   if (aDatagram.has_quota()) {
     this->TakeQuota(aDatagram.quota());
   }
+  for (const serving::LimitWord& limit : aDatagram.limits().limits()) {
+    this->TakeLimit(limit, aDatagram.limits().id());
+  }
   if (aDatagram.has_store()) {
     TakeStoreWord(this->state, aDatagram.store());
   }
@@ -156,6 +169,10 @@
   if (!this->state.peers.Hear(aWord, now)) {
     return;
   }
+  this->state.limitSharers.Hear(DaemonId{ aWord.id() }, now);
+  for (const serving::LimitWord& limit : aWord.limits()) {
+    this->TakeLimit(limit, aWord.id());
+  }
   this->state.quotaExchange.Hear(aWord.quota(), QuotaTelling::eRegular, now);
   for (const serving::BackendWord& backend : aWord.backends()) {
     if (backend.leaving()) {
@@ -170,6 +187,44 @@
   }
 }
 
+void
+PeerLink::TakeLimit(const serving::LimitWord& aWord, const std::string& aFrom)
+{
+  const InstanceId id{ aWord.backend() };
+  const Backend* backend = this->state.backends.Find(id);
+  const bool sameLife =
+    backend != nullptr && backend->entry.born == aWord.born();
+  if (!sameLife) {
+    return;
+  }
+  const TimePoint now = ServingState::Now();
+  const LimitNews news{ id,
+                        aWord.born(),
+                        RequestRate{ aWord.per_s() },
+                        aWord.ended(),
+                        now - Millis(aWord.age_ms()) };
+  if (this->state.engineLimits.Told(news, now)) {
+    this->state.log.Emit(
+      Event("backend.limit")
+        .With("backend", id)
+        .With("per_s", news.ended ? "none" : std::to_string(news.rate.perS))
+        .With("from", aFrom)
+        .With("answer_ms_ago", aWord.age_ms()));
+  }
+}
+
+Task<void>
+PeerLink::TellLimits()
+{
+  co_await Sleep(Millis(this->state.random.Below(kLimitToldMs)));
+  this->tellsLimits = false;
+  serving::Datagram datagram;
+  *datagram.mutable_limits() = UrgentLimits(this->state);
+  if (datagram.limits().limits_size() > 0) {
+    this->Say(datagram, this->state.peers.Addresses());
+  }
+}
+
 Task<void>
 PeerLink::TellEndedWindows()
 {
@@ -272,6 +327,9 @@
   this->state.peers.Expire(aNow);
   this->state.quotaExchange.Expire(aNow);
   this->state.facts.Expire(aNow);
+  this->state.limitSharers.SetSilence(this->state.peers.Silent());
+  this->state.limitSharers.Expire(aNow);
+  this->state.engineLimits.Expire(aNow);
   ExpireBackends(this->state, aNow);
   this->state.backends.SetOthers(this->state.peers.Loads(aNow));
   this->state.CountQuotaUse(aNow);
@@ -329,10 +387,12 @@
           const DaemonId id{ member.id() };
           this->state.peers.Learn(id, member.address());
           this->state.quotaExchange.Learn(id, ServingState::Now());
+          this->state.limitSharers.Learn(id, ServingState::Now());
         }
       }
       this->state.peers.Listed();
       this->state.quotaExchange.Listed();
+      this->state.limitSharers.Listed();
       if (!asked) {
         asked = true;
         this->AskForQuotas();
--- a/src/serve/PeerLink.h
+++ b/src/serve/PeerLink.h
@@ -80,6 +80,11 @@
    * need not wait for the others' next words. */
   void AskForQuotas();
   void TakeQuota(const serving::QuotaWord& aWord);
+  /** Tells all what engines in need have named, unless another daemon does so
+   * first. */
+  Task<void> TellLimits();
+  /** Takes in one limit that another daemon tells. */
+  void TakeLimit(const serving::LimitWord& aWord, const std::string& aFrom);
   /** Tells the keepers what was counted in each window, soon after its end.
    * Regular words come seconds apart where there are many daemons, too late for
    * the report. */
@@ -95,6 +100,7 @@
   ServingState& state;
   boost::asio::ip::udp::socket socket;
   std::uint64_t sequence = 0;
+  bool tellsLimits = false; // TellLimits is about to
 };
 
 } // namespace toucanshed
--- a/src/serve/PeerWords.cpp
+++ b/src/serve/PeerWords.cpp
@@ -51,6 +51,16 @@
   entry->set_level(aCopy.level.value_or(0));
 }
 
+void
+AddLimit(const LimitNews& aNews, TimePoint aNow, serving::LimitWord& aWord)
+{
+  aWord.set_backend(aNews.engine.value);
+  aWord.set_born(aNews.born);
+  aWord.set_per_s(aNews.rate.perS);
+  aWord.set_ended(aNews.ended);
+  aWord.set_age_ms(static_cast<std::uint64_t>((aNow - aNews.asOf).count()));
+}
+
 serving::LedgerWord
 LedgerHead(const ServingState& aState)
 {
@@ -120,6 +130,17 @@
   return word;
 }
 
+serving::LimitsWord
+UrgentLimits(ServingState& aState)
+{
+  serving::LimitsWord word;
+  word.set_id(aState.settings.id.value);
+  for (const LimitNews& news : aState.engineLimits.TakeUrgent()) {
+    AddLimit(news, ServingState::Now(), *word.add_limits());
+  }
+  return word;
+}
+
 serving::DaemonWord
 WordOf(ServingState& aState, std::uint64_t aSequence)
 {
@@ -140,6 +161,9 @@
   }
   AddBackends(aState, word);
   *word.mutable_quota() = QuotaOfAll(aState);
+  for (const LimitNews& news : aState.engineLimits.TakeForWord()) {
+    AddLimit(news, now, *word.add_limits());
+  }
   for (const auto& [service, meter] : aState.promptRates) {
     auto* entry = word.add_services();
     entry->set_service(service.value);
--- a/src/serve/PeerWords.h
+++ b/src/serve/PeerWords.h
@@ -32,6 +32,11 @@
 serving::LedgerWord
 LedgerOfWindow(const ServingState& aState, std::uint64_t aWindow);
 
+/** Limits of engines in need that the others must hear at once; they count as
+ * told from here on. */
+serving::LimitsWord
+UrgentLimits(ServingState& aState);
+
 /** How the limits of all teams are used here. */
 serving::QuotaWord
 QuotaOfAll(const ServingState& aState);
--- a/src/serve/RequestRelay.cpp
+++ b/src/serve/RequestRelay.cpp
@@ -51,7 +51,16 @@
       Event("backend.limit_unreadable").With("backend", aBackend));
     return;
   }
-  const bool news = this->state.engineLimits.Answered(aBackend, aHead.limit);
+  const Backend* backend = this->state.backends.Find(aBackend);
+  if (backend == nullptr) {
+    return; // it has gone, and its limit with it
+  }
+  EngineLimits& limits = this->state.engineLimits;
+  const bool news = limits.Answered(
+    aBackend, backend->entry.born, aHead.limit, ServingState::Now());
+  if (limits.HasUrgent()) {
+    this->state.tellLimits();
+  }
   if (!news) {
     return;
   }
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -107,9 +107,29 @@
                                      this->request.incoming.attempt,
                                      now);
   });
+  this->LeaveOutLimited(backends, now);
   return this->PlacerOf().Choose(backends, wanted, traits, now);
 }
 
+void
+RequestRun::LeaveOutLimited(std::vector<Backend*>& aBackends, TimePoint aNow)
+{
+  this->limitWait.reset();
+  EngineLimits& limits = this->state.engineLimits;
+  if (limits.Empty()) {
+    return;
+  }
+  std::erase_if(aBackends, [&](const Backend* aBackend) {
+    const InstanceId& id = aBackend->entry.id;
+    if (limits.Room(id, aNow) != LimitUse::eNone) {
+      return false;
+    }
+    const Millis wait = limits.Wait(id, aNow);
+    this->limitWait = std::min(this->limitWait.value_or(wait), wait);
+    return true;
+  });
+}
+
 SendAdvice
 RequestRun::Advise(const Placement& aPlacement)
 {
@@ -169,7 +189,10 @@
     }
     const auto placement = this->Choose();
     if (!placement) {
-      this->lastWhy = this->lastWhy.empty() ? "no back end" : this->lastWhy;
+      if (this->lastWhy.empty()) {
+        this->lastWhy =
+          this->limitWait ? "engines in need take no more" : "no back end";
+      }
       break;
     }
     const bool tooFull = placement->queued && this->sends == 0;
@@ -220,11 +243,22 @@
 }
 
 bool
-RequestRun::StillMeant(const InstanceId& aBackend) const
+RequestRun::ConfirmSend(const InstanceId& aBackend)
 {
+  const TimePoint now = ServingState::Now();
   const Backend* backend = this->state.backends.Find(aBackend);
-  return backend != nullptr && !backend->leaving &&
-         !backend->Lapsed(ServingState::Now());
+  if (backend == nullptr || backend->leaving || backend->Lapsed(now)) {
+    this->lastWhy = "the back end left before the send";
+    return false;
+  }
+  if (this->limitUse == LimitUse::eFree) {
+    this->limitUse = this->state.engineLimits.Take(aBackend, now);
+  }
+  if (this->limitUse == LimitUse::eNone) {
+    this->lastWhy = "the back end named a limit before the send";
+    return false;
+  }
+  return true;
 }
 
 Task<SendOutcome>
@@ -237,6 +271,8 @@
     co_return SendOutcome::eNotRun;
   }
   ++this->sends;
+  this->limitUse =
+    this->state.engineLimits.Take(aPlacement.backend, ServingState::Now());
   this->lastPlacement = aPlacement;
   this->sentAt = ServingState::Now();
   this->beganHere = false;
@@ -264,8 +300,10 @@
                        part);
   this->state.promptRates[this->request.service].Add(
     static_cast<double>(aPlacement.uncachedTokens), this->sentAt);
-  MaySend stillMeant = [this, id = aPlacement.backend] {
-    return this->StillMeant(id);
+  bool confirmed = true;
+  MaySend confirm = [this, &confirmed, id = aPlacement.backend] {
+    confirmed = this->ConfirmSend(id);
+    return confirmed;
   };
   auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
                                               *endpoint,
@@ -273,16 +311,14 @@
                                               timeouts,
                                               false,
                                               this->abort,
-                                              std::move(stillMeant));
+                                              std::move(confirm));
   SendOutcome outcome = SendOutcome::eNotRun;
   if (exchange) {
     outcome = co_await this->Relay(*exchange, aPlacement);
     exchange->Drop();
   } else {
     outcome = this->Classify(exchange.error());
-    this->lastWhy = this->StillMeant(aPlacement.backend)
-                      ? exchange.error().message
-                      : "the back end left before the send";
+    this->lastWhy = confirmed ? exchange.error().message : this->lastWhy;
   }
   if (outcome == SendOutcome::eMayHaveRun || outcome == SendOutcome::eLate) {
     this->mayHaveRun = true;
@@ -294,8 +330,9 @@
       this->state, aPlacement.backend, this->request.fingerprint));
   }
   this->Observe(aPlacement.backend, outcome);
-  const bool failed = outcome == SendOutcome::eMayHaveRun ||
-                      (!exchange && outcome == SendOutcome::eNotRun);
+  const bool unreached =
+    !exchange && confirmed && outcome == SendOutcome::eNotRun;
+  const bool failed = outcome == SendOutcome::eMayHaveRun || unreached;
   if (failed) {
     this->state.backends.Failed(aPlacement.backend, ServingState::Now());
   }
@@ -357,11 +394,13 @@
 Task<void>
 RequestRun::Refuse(std::string aReason)
 {
+  const Millis comeBack = std::max(ComeBackAfter(this->state, this->Left()),
+                                   this->limitWait.value_or(Millis(0)));
   HttpReply reply = OwnAnswer(this->state,
                               this->request.incoming.attempt,
                               kUnavailable,
                               aReason,
-                              ComeBackAfter(this->state, this->Left()));
+                              comeBack);
   co_await this->responder.Send(std::move(reply));
   this->LogEnd(kUnavailable, aReason);
 }
@@ -424,6 +463,7 @@
       .With("status", aStatus)
       .With("why", aReason)
       .With("sends", this->sends)
+      .With("within_limit", this->limitUse == LimitUse::eTaken ? 1 : 0)
       .With("stood_back_ms", this->stoodBack.count())
       .With("sent_ms",
             this->sends > 0 ? (this->sentAt - this->request.arrived).count()
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include "ServingRequest.h"
+#include "coord/BackendTable.h"
+#include "coord/EngineLimits.h"
 #include "coord/EventSplitter.h"
 #include "coord/LateWork.h"
 #include "coord/Placement.h"
@@ -50,12 +52,16 @@
 private:
   /** The back end to send to next; nothing when there is none. */
   std::optional<Placement> Choose();
+  /** Leaves out back ends whose limits have no room, and notes when they will.
+   */
+  void LeaveOutLimited(std::vector<Backend*>& aBackends, TimePoint aNow);
   [[nodiscard]] SendAdvice Advise(const Placement& aPlacement);
   [[nodiscard]] bool MaySendAgain();
   Task<SendOutcome> Send(Placement aPlacement);
   /** Whether a back end that was chosen may still be sent to, once there is a
-   * connection to it. */
-  [[nodiscard]] bool StillMeant(const InstanceId& aBackend) const;
+   * connection to it. Takes the send from its limit if it has named one
+   * meanwhile. */
+  [[nodiscard]] bool ConfirmSend(const InstanceId& aBackend);
   Task<SendOutcome> Relay(HttpExchange& aExchange, const Placement& aPlacement);
   Task<SendOutcome> RelayStream(HttpExchange& aExchange,
                                 const Placement& aPlacement);
@@ -86,7 +92,9 @@
   EventSplitter splitter;
   std::set<InstanceId> passedOver;
   std::optional<Placement> lastPlacement;
-  BackendUse* use = nullptr; // of the current send
+  BackendUse* use = nullptr;           // of the current send
+  LimitUse limitUse = LimitUse::eFree; // of the current send
+  std::optional<Millis> limitWait;     // until a limit may have room
   unsigned sends = 0;
   unsigned runs = 0; // sends after which it may have run
   bool mayHaveRun = false;
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -29,6 +29,8 @@
   , moves(ExposureLimits{ settings.bounds.exposureShare })
   , evidence(settings.id.value + "/" + std::to_string(aLife))
   , peers(settings.id)
+  , limitSharers(settings.id, startedAt)
+  , engineLimits(limitSharers)
   , storeOutage(settings.heartbeat)
   , random(Hash64(settings.id.value, aLife))
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -12,6 +12,7 @@
 #include "coord/EngineLimits.h"
 #include "coord/Evidence.h"
 #include "coord/FactSet.h"
+#include "coord/LimitSharers.h"
 #include "coord/ListCopy.h"
 #include "coord/PeerTable.h"
 #include "coord/Placement.h"
@@ -79,7 +80,6 @@
 
   std::shared_ptr<const Catalog> catalog; // null until it was read
   BackendTable backends;
-  EngineLimits engineLimits;
   bool backendsRead = false;
   ListCopy listCopy;
   TopicFreshness listFreshness;
@@ -96,6 +96,8 @@
   VersionMoves moves;
   EvidenceTable evidence;
   PeerTable peers;
+  LimitSharers limitSharers;
+  EngineLimits engineLimits;
   Position dutyFence; // of the duty this daemon holds; 0: none
   Position dutyEnd;   // where the duties' records end, as far as read here
   std::optional<TimePoint> storeLost; // since when it is not reached
@@ -107,6 +109,8 @@
     tellSent = [](const InstanceId&, std::int64_t, const std::string&) {};
   /** Tells the other daemons at once what was let through for a team. */
   std::function<void(const TeamId&)> tellQuota = [](const TeamId&) {};
+  /** Tells the other daemons soon of limits that they must know. */
+  std::function<void()> tellLimits = [] {};
   /** Tells the other daemons what was just read in the store. */
   std::function<void(const serving::StoreWord&)> tellStore =
     [](const serving::StoreWord&) {};
--- a/test/PlatformWorld.cpp
+++ b/test/PlatformWorld.cpp
@@ -96,6 +96,7 @@
   this->state->catalog =
     std::make_shared<const Catalog>(*platform::ParseCatalog(CatalogText(1)));
   this->state->backendsRead = true;
+  this->state->limitSharers.Listed();
 }
 
 PlatformWorld::~PlatformWorld() = default;
--- a/test/failure/EngineLimitTest.cpp
+++ b/test/failure/EngineLimitTest.cpp
@@ -4,6 +4,31 @@
 
 namespace toucanshed::test {
 
+namespace {
+
+/** Requests one after the other. \return those answered with 200 */
+Task<std::size_t>
+AskMany(PlatformWorld& aWorld, std::size_t aCount)
+{
+  std::size_t answered = 0;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    CallerSend send;
+    send.attempt = "many-" + std::to_string(i);
+    const CallerView seen = co_await aWorld.Ask(std::move(send));
+    answered += seen.status == 200 ? 1 : 0;
+  }
+  co_return answered;
+}
+
+/** The daemon has run for so long that it may use parts of limits. */
+Task<void>
+Join()
+{
+  co_await Sleep(std::chrono::milliseconds(1600));
+}
+
+} // namespace
+
 // An engine in need is sent as much as any other after it has named its limit.
 TEST_CASE("an engine gets no more than one and a half times its limit")
 {
@@ -34,4 +59,79 @@
   CHECK(needy.arrivals.size() > before); // it is still asked
 }
 
+// One engine in need takes callers' answers with it though others have room.
+TEST_CASE("requests beyond an engine's limit go to the other engines")
+{
+  PlatformWorld world(22340);
+  auto& needy = world.AddEngine("e1", "plain");
+  auto& other = world.AddEngine("e2", "plain");
+  needy.limit = "0.5";
+  std::size_t answered = 0;
+  constexpr std::size_t kAsked = 30;
+  world.Run([](PlatformWorld& aWorld, std::size_t& aAnswered) -> Task<void> {
+    co_await Join();
+    aAnswered = co_await AskMany(aWorld, kAsked);
+  }(world, answered));
+  CHECK(answered == kAsked);
+  CHECK(needy.arrivals.size() <= 2); // the one that told, and one of the part
+  CHECK(needy.arrivals.size() + other.arrivals.size() == kAsked);
+}
+
+// A request that cannot be served waits until its caller gives up.
+TEST_CASE("a request that engines in need have no room for is refused at once")
+{
+  PlatformWorld world(22350);
+  auto& needy = world.AddEngine("e1", "plain");
+  needy.limit = "0.5";
+  CallerView refused;
+  Millis took{ 0 };
+  world.Run([](PlatformWorld& aWorld,
+               CallerView& aRefused,
+               Millis& aTook) -> Task<void> {
+    co_await Join();
+    co_await AskMany(aWorld, 2);
+    const TimePoint began = ServingState::Now();
+    CallerSend send;
+    aRefused = co_await aWorld.Ask(std::move(send));
+    aTook = ServingState::Now() - began;
+  }(world, refused, took));
+  CHECK(refused.status == 503);
+  CHECK(took < Millis(200));
+  CHECK(std::stod(refused.comeBack) > 0.5); // a request in two seconds
+  CHECK(needy.arrivals.size() <= 2);
+}
+
+// Daemons that never sent to the engine pass its limit together.
+TEST_CASE("a limit that another daemon tells is kept to")
+{
+  PlatformWorld world(22360);
+  auto& needy = world.AddEngine("e1", "plain");
+  needy.limit = "1";
+  world.Run([](PlatformWorld& aWorld) -> Task<void> {
+    const TimePoint now = ServingState::Now();
+    aWorld.state->engineLimits.Told(
+      LimitNews{ InstanceId{ "e1" }, 1, RequestRate{ 1 }, false, now }, now);
+    co_await AskMany(aWorld, 20);
+  }(world));
+  CHECK(needy.arrivals.empty()); // it has no part before it is known to all
+}
+
+// Bytes that are no number lift a limit, and the engine is flooded.
+TEST_CASE("a limit that cannot be read is told from none")
+{
+  PlatformWorld world(22370);
+  const BackendFormat& format = world.state->wire.backends;
+  http::fields fields;
+  CHECK_FALSE(format.read(200, fields).limit.has_value());
+  CHECK_FALSE(format.read(200, fields).unreadableLimit);
+  for (const char* odd : { "", "-1", "nan", "inf", "1e999", "2 a second" }) {
+    fields.set("Server-Limit", odd);
+    CHECK_FALSE(format.read(200, fields).limit.has_value());
+    CHECK(format.read(200, fields).unreadableLimit);
+  }
+  fields.set("Server-Limit", "2.75");
+  REQUIRE(format.read(200, fields).limit.has_value());
+  CHECK(format.read(200, fields).limit->perS == Approx(2.75));
+}
+
 } // namespace toucanshed::test
