The end of an engine's limit is remembered, so that no older word brings it back

Five seconds after an engine had named its limit for the last time it was forgotten. A daemon that had missed the end, among hundreds where words are seconds apart, then told the old limit as if it were news, and all held the recovered engine to it again, until the next answer, and so on. The end is now kept for a minute; what is older changes nothing.

The new test failed before: no room for a request 5 s after the end.

--- a/src/coord/EngineLimits.cpp
+++ b/src/coord/EngineLimits.cpp
@@ -87,10 +87,24 @@
 {
   std::erase_if(this->limits, [aNow](const auto& aPair) {
     const Limit& limit = aPair.second;
-    return limit.news.ended && aNow - limit.endedAt >= kRecovery;
+    return limit.news.ended && aNow - limit.endedAt >= kEndRemembered;
   });
 }
 
+bool
+EngineLimits::Holds(const Limit& aLimit, TimePoint aNow)
+{
+  return !aLimit.news.ended || aNow - aLimit.endedAt < kRecovery;
+}
+
+EngineLimits::Limit*
+EngineLimits::Find(const InstanceId& aEngine, TimePoint aNow)
+{
+  const auto found = this->limits.find(aEngine);
+  const bool holds = found != this->limits.end() && Holds(found->second, aNow);
+  return holds ? &found->second : nullptr;
+}
+
 RequestRate
 EngineLimits::Rate(const Limit& aLimit, TimePoint aNow)
 {
@@ -105,7 +119,7 @@
 EngineLimits::RateOf(const InstanceId& aEngine, TimePoint aNow) const
 {
   const auto found = this->limits.find(aEngine);
-  if (found == this->limits.end()) {
+  if (found == this->limits.end() || !Holds(found->second, aNow)) {
     return std::nullopt;
   }
   return Rate(found->second, aNow);
@@ -143,12 +157,12 @@
 LimitUse
 EngineLimits::Room(const InstanceId& aEngine, TimePoint aNow)
 {
-  const auto found = this->limits.find(aEngine);
-  if (found == this->limits.end()) {
+  Limit* limit = this->Find(aEngine, aNow);
+  if (limit == nullptr) {
     return LimitUse::eFree;
   }
-  this->Fill(found->second, aNow);
-  return found->second.saved >= 1 ? LimitUse::eTaken : LimitUse::eNone;
+  this->Fill(*limit, aNow);
+  return limit->saved >= 1 ? LimitUse::eTaken : LimitUse::eNone;
 }
 
 LimitUse
@@ -164,19 +178,18 @@
 Millis
 EngineLimits::Wait(const InstanceId& aEngine, TimePoint aNow)
 {
-  const auto found = this->limits.find(aEngine);
-  if (found == this->limits.end()) {
+  Limit* limit = this->Find(aEngine, aNow);
+  if (limit == nullptr) {
     return Millis(0);
   }
-  Limit& limit = found->second;
-  this->Fill(limit, aNow);
-  if (limit.saved >= 1) {
+  this->Fill(*limit, aNow);
+  if (limit->saved >= 1) {
     return Millis(0);
   }
-  if (limit.partPerS > 0) {
-    return MillisFor(1 - limit.saved, limit.partPerS);
+  if (limit->partPerS > 0) {
+    return MillisFor(1 - limit->saved, limit->partPerS);
   }
-  return MillisFor(1, Rate(limit, aNow).perS);
+  return MillisFor(1, Rate(*limit, aNow).perS);
 }
 
 bool
--- a/src/coord/EngineLimits.h
+++ b/src/coord/EngineLimits.h
@@ -63,6 +63,9 @@
    * so long; then it has none. All daemons at once would bring it into need
    * again. */
   static constexpr Millis kRecovery{ 5000 };
+  /** How long the end of a limit is remembered, so that an older word does not
+   * bring it back. */
+  static constexpr Millis kEndRemembered{ 60000 };
   /** A limit that falls below this part of what was told is told at once. */
   static constexpr double kToldFall = 0.7;
   /** Limits in one regular word; each word has others. */
@@ -86,10 +89,10 @@
   bool Told(const LimitNews& aNews, TimePoint aNow);
   /** The engine has gone or begun another life. */
   void Forget(const InstanceId& aEngine) { this->limits.erase(aEngine); }
-  /** Ends the limits of engines that have recovered. */
+  /** Forgets limits that ended long ago. */
   void Expire(TimePoint aNow);
 
-  /** Whether no engine has a limit. */
+  /** Whether no engine has had a limit lately. */
   [[nodiscard]] bool Empty() const { return this->limits.empty(); }
   /** Whether a request may be sent to the engine now; Take also counts it. */
   [[nodiscard]] LimitUse Room(const InstanceId& aEngine, TimePoint aNow);
@@ -125,6 +128,9 @@
     std::optional<TimePoint> partAt; // when it was looked up
   };
 
+  [[nodiscard]] static bool Holds(const Limit& aLimit, TimePoint aNow);
+  /** The engine's limit; null when it has none. */
+  [[nodiscard]] Limit* Find(const InstanceId& aEngine, TimePoint aNow);
   [[nodiscard]] static RequestRate Rate(const Limit& aLimit, TimePoint aNow);
   void Apply(Limit& aLimit, const LimitNews& aNews, TimePoint aNow);
   void FindPart(Limit& aLimit, TimePoint aNow) const;
--- a/test/correctness/EngineLimitsTest.cpp
+++ b/test/correctness/EngineLimitsTest.cpp
@@ -126,6 +126,25 @@
   CHECK(world.MostUsed() <= 1.0);
 }
 
+// A word that was long on its way, or a daemon that missed the end, limits an
+// engine for all that has recovered.
+TEST_CASE("a limit that has ended is not brought back by an older word")
+{
+  const TimePoint named{ 50000 };
+  const TimePoint ended = named + Millis(3000);
+  const InstanceId engine{ "e1" };
+  const LimitSharers sharers(DaemonId{ "d1" }, TimePoint{ 0 });
+  EngineLimits limits(sharers);
+  limits.Answered(engine, 1, RequestRate{ 1 }, named);
+  limits.Answered(engine, 1, std::nullopt, ended);
+  const TimePoint later = ended + EngineLimits::kRecovery + Millis(2000);
+  limits.Expire(later);
+  limits.Told(LimitNews{ engine, 1, RequestRate{ 1 }, false, named }, later);
+  CHECK(limits.Room(engine, later) == LimitUse::eFree);
+  limits.Told(LimitNews{ engine, 1, RequestRate{ 1 }, false, later }, later);
+  CHECK(limits.Room(engine, later) == LimitUse::eNone);
+}
+
 TEST_CASE("an engine that names no limit any more comes back in steps")
 {
   constexpr std::size_t kEngines = 2;
