Engines are ordered in place of those in need

Now the part of its usual requests that an engine in need does not take counts as an engine lost, for as long as it is in need; what it usually gets is the service's requests by its engines.

Test: with four lost engines four more stand, and as many as before when these have recovered.

--- a/src/coord/RetryWindow.cpp
+++ b/src/coord/RetryWindow.cpp
@@ -29,6 +29,18 @@
   this->Current(aService, aNow).requests += 1;
 }
 
+RequestRate
+RetryWindow::RequestsLately(const ServiceId& aService, TimePoint aNow)
+{
+  this->Current(aService, aNow);
+  double requests = 0;
+  for (const Second& second : this->services[aService]) {
+    requests += second.requests;
+  }
+  const auto window = static_cast<double>(this->allowance.window.count());
+  return RequestRate{ requests * kMillisPerSecond / window };
+}
+
 bool
 RetryWindow::Take(const ServiceId& aService,
                   std::size_t aDaemons,
--- a/src/coord/RetryWindow.h
+++ b/src/coord/RetryWindow.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "base/RequestRate.h"
 #include "base/Types.h"
 
 #include <cstddef>
@@ -39,6 +40,9 @@
   }
 
   void Request(const ServiceId& aService, TimePoint aNow);
+  /** Requests for the service here, in the mean of the window. */
+  [[nodiscard]] RequestRate RequestsLately(const ServiceId& aService,
+                                           TimePoint aNow);
   /** Takes one retry. \return false when none is left. */
   bool Take(const ServiceId& aService, std::size_t aDaemons, TimePoint aNow);
 
--- a/src/coord/ScalePlanner.cpp
+++ b/src/coord/ScalePlanner.cpp
@@ -65,6 +65,18 @@
   return EngineNeed{ reading / kPlannedReading, places / kPlannedPlaces };
 }
 
+double
+ScalePlanner::LostToNeed(const std::vector<RequestRate>& aNamed,
+                         RequestRate aUsual)
+{
+  double lost = 0;
+  for (const RequestRate& named : aNamed) {
+    const bool less = named.perS < aUsual.perS;
+    lost += less ? 1 - named.perS / aUsual.perS : 0;
+  }
+  return lost;
+}
+
 void
 ScalePlanner::CountEngine(const Backend& aBackend,
                           const VersionMove* aMove,
@@ -198,7 +210,7 @@
   ServiceState& state = this->services[aService.id];
   const bool fresh = aNow - state.firstSeen < kFirstTime;
   const double first = fresh ? kFirstPart * state.firstEngines : 0;
-  return std::max({ aNeeded, first, kLeast });
+  return std::max({ aNeeded, first, kLeast }) + state.lost;
 }
 
 void
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -7,6 +7,7 @@
 #include "Catalog.h"
 #include "ReclaimWatch.h"
 #include "VersionMoves.h"
+#include "base/RequestRate.h"
 
 #include <algorithm>
 #include <compare>
@@ -107,6 +108,20 @@
   [[nodiscard]] static EngineNeed NeedOf(const ServiceDemand& aDemand,
                                          const EngineTraits& aTraits);
 
+  /** Engines whose work others must do, as they are in need and take less than
+   * their part of the requests.
+   * \param aNamed the rates that engines in need have named
+   * \param aUsual what each engine gets of the requests when none is in need */
+  [[nodiscard]] static double LostToNeed(const std::vector<RequestRate>& aNamed,
+                                         RequestRate aUsual);
+
+  /** Sets how many engines the service must have beyond those that it needs, in
+   * place of engines in need; not remembered, as these recover. */
+  void SetLost(const ServiceId& aService, double aLost)
+  {
+    this->services[aService].lost = aLost;
+  }
+
   /** Notes which engines a service has, also while another daemon orders them,
    * so that one that takes over knows at once whether more may appear.
    * \param aMove of the service, the newest; null when there is none */
@@ -140,6 +155,7 @@
     TimePoint firstSeen;
     TimePoint grewAt; // more engines were seen than before
     bool hasOrders = false;
+    double lost = 0; // engines that others must stand in for
     TimePoint refusedUntil;       // reclaimable ones
     std::optional<Position> move; // the newest order to move it
     unsigned mostArriving = 0;    // engines of its new version, seen at once
--- a/src/serve/DutyActs.cpp
+++ b/src/serve/DutyActs.cpp
@@ -196,6 +196,7 @@
       continue;
     }
     const double needed = this->Needed(service, now);
+    this->planner.SetLost(id, EnginesLostToNeed(this->state, id, now));
     const std::vector<GroupOrder> orders = this->planner.Plan(
       service, needed, this->state.backends, this->state.moves.Find(id), now);
     if (!orders.empty() && this->Holds()) {
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -24,4 +24,29 @@
   return ScalePlanner::NeedOf(demand, *aService.engine);
 }
 
+double
+EnginesLostToNeed(ServingState& aState,
+                  const ServiceId& aService,
+                  TimePoint aNow)
+{
+  std::vector<RequestRate> named;
+  std::size_t engines = 0;
+  for (const Backend* backend : aState.backends.Of(aService)) {
+    if (backend->leaving) {
+      continue;
+    }
+    ++engines;
+    if (const auto rate = aState.engineLimits.RateOf(backend->entry.id, aNow)) {
+      named.push_back(*rate);
+    }
+  }
+  if (named.empty()) {
+    return 0;
+  }
+  const double own = aState.retries.RequestsLately(aService, aNow).perS;
+  const auto daemons = static_cast<double>(aState.Daemons());
+  const RequestRate usual{ own * daemons / static_cast<double>(engines) };
+  return ScalePlanner::LostToNeed(named, usual);
+}
+
 } // namespace toucanshed
--- a/src/serve/EngineDemand.h
+++ b/src/serve/EngineDemand.h
@@ -3,12 +3,13 @@
  */
 #pragma once
 
+#include "base/Types.h"
+
 namespace toucanshed {
 
 struct EngineNeed;
 struct ServiceSpec;
 struct ServingState;
-struct TimePoint;
 
 /** Engines that bear what callers ask of a service at all daemons. None for a
  * service of which nothing is known that would tell.
@@ -18,4 +19,11 @@
               const ServiceSpec& aService,
               TimePoint aNow);
 
+/** Engines of the service whose work others must do, as they are in need.
+ * Thread safety: as above. */
+double
+EnginesLostToNeed(ServingState& aState,
+                  const ServiceId& aService,
+                  TimePoint aNow);
+
 } // namespace toucanshed
--- a/test/correctness/ScalePlannerTest.cpp
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -158,6 +158,32 @@
 
 } // namespace
 
+// Engines in need are counted as if they did all their work.
+TEST_CASE("engines in need are replaced by as much as they take no more")
+{
+  constexpr RequestRate kUsual{ 10 };
+  CHECK(ScalePlanner::LostToNeed({}, kUsual) == 0);
+  CHECK(ScalePlanner::LostToNeed({ RequestRate{ 2.5 }, RequestRate{ 0 } },
+                                 kUsual) == Approx(1.75));
+  CHECK(ScalePlanner::LostToNeed({ RequestRate{ 30 } }, kUsual) == 0);
+  CHECK(ScalePlanner::LostToNeed({ RequestRate{ 1 } }, RequestRate{ 0 }) == 0);
+}
+
+// Half of the engines name limits, and the other half gets the whole load.
+TEST_CASE("engines are ordered in place of those in need, and given back")
+{
+  ScaleWorld world;
+  world.Add("a", false, 2);
+  world.Play(8, 40);
+  const unsigned before = world.Count("", true) + world.Count("", false);
+  world.planner.SetLost(kService, 4);
+  world.Play(8, 20);
+  CHECK(world.Count("", true) + world.Count("", false) >= before + 4);
+  world.planner.SetLost(kService, 0);
+  world.Play(8, 60);
+  CHECK(world.Count("", true) + world.Count("", false) == before);
+}
+
 TEST_CASE("an operator's engines stay until others can bear their work")
 {
   // A peak may begin at once. Before any demand was seen, on-demand engines
