An engine in need is the home of no shared part

A part's home is the engine that its id names among those that may be sent to. An engine in need comes and goes from these with each request that its limit has room for, and the homes with it: each time another engine reads the shared part again, thousands of tokens. The new test failed before.

--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -38,14 +38,21 @@
          !aRequest.passedOver.contains(aBackend.entry.id);
 }
 
-/** The back end that a part's id names, the same at every daemon. */
+/** The back end that a part's id names, the same at every daemon. An engine in
+ * need is none: the part's requests would go there now and then, and it would
+ * be read again elsewhere for each of the others. */
 InstanceId
-HomeOf(const std::string& aPart, const std::vector<Backend*>& aUsable)
+HomeOf(const std::string& aPart,
+       const std::vector<Backend*>& aUsable,
+       const std::set<InstanceId>& aInNeed)
 {
   InstanceId home;
   std::uint64_t highest = 0;
   const std::uint64_t key = Hash64(aPart);
   for (const Backend* backend : aUsable) {
+    if (aInNeed.contains(backend->entry.id)) {
+      continue;
+    }
     const std::uint64_t rank = MixHash(key, Hash64(backend->entry.id.value));
     if (home.Empty() || rank > highest) {
       highest = rank;
@@ -116,7 +123,7 @@
   const std::string shared = SharedPartOf(aRequest.prompt);
   InstanceId home;
   if (aTraits != nullptr && !shared.empty()) {
-    home = HomeOf(shared, usable);
+    home = HomeOf(shared, usable, aRequest.inNeed);
   }
   Placement best;
   double bestScore = std::numeric_limits<double>::max();
--- a/src/coord/Placement.h
+++ b/src/coord/Placement.h
@@ -21,6 +21,8 @@
   std::vector<PromptPart> prompt;
   /** Back ends that have read its shared part. */
   std::vector<InstanceId> holders;
+  /** Back ends that take a few requests only, as they are in need. */
+  std::set<InstanceId> inNeed;
   /** Back ends that have had this request. */
   std::set<InstanceId> passedOver;
 };
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -107,12 +107,14 @@
                                      this->request.incoming.attempt,
                                      now);
   });
-  this->LeaveOutLimited(backends, now);
+  this->LeaveOutLimited(backends, wanted.inNeed, now);
   return this->PlacerOf().Choose(backends, wanted, traits, now);
 }
 
 void
-RequestRun::LeaveOutLimited(std::vector<Backend*>& aBackends, TimePoint aNow)
+RequestRun::LeaveOutLimited(std::vector<Backend*>& aBackends,
+                            std::set<InstanceId>& aHaveRoom,
+                            TimePoint aNow)
 {
   this->limitWait.reset();
   EngineLimits& limits = this->state.engineLimits;
@@ -121,7 +123,11 @@
   }
   std::erase_if(aBackends, [&](const Backend* aBackend) {
     const InstanceId& id = aBackend->entry.id;
-    if (limits.Room(id, aNow) != LimitUse::eNone) {
+    const LimitUse use = limits.Room(id, aNow);
+    if (use == LimitUse::eTaken) {
+      aHaveRoom.insert(id);
+    }
+    if (use != LimitUse::eNone) {
       return false;
     }
     const Millis wait = limits.Wait(id, aNow);
--- a/src/serve/RequestRun.h
+++ b/src/serve/RequestRun.h
@@ -52,9 +52,11 @@
 private:
   /** The back end to send to next; nothing when there is none. */
   std::optional<Placement> Choose();
-  /** Leaves out back ends whose limits have no room, and notes when they will.
-   */
-  void LeaveOutLimited(std::vector<Backend*>& aBackends, TimePoint aNow);
+  /** Leaves out back ends whose limits have no room, notes when they will, and
+   * which ones have room. */
+  void LeaveOutLimited(std::vector<Backend*>& aBackends,
+                       std::set<InstanceId>& aHaveRoom,
+                       TimePoint aNow);
   [[nodiscard]] SendAdvice Advise(const Placement& aPlacement);
   [[nodiscard]] bool MaySendAgain();
   Task<SendOutcome> Send(Placement aPlacement);
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -55,6 +55,20 @@
   }
 }
 
+// The engines that a part's requests go to change with an engine's room.
+TEST_CASE("an engine in need is no home of what requests share")
+{
+  PlacementWorld world;
+  PlacementRequest request = Report("subject");
+  const InstanceId usual = world.Choose(request).backend;
+  request.inNeed = { usual };
+  const InstanceId home = world.Choose(request).backend;
+  CHECK(home != usual);
+  world.table.Remove(usual, std::nullopt); // it has no room
+  request.inNeed = {};
+  CHECK(world.Choose(request).backend == home);
+}
+
 TEST_CASE("a part that was read is not read again unless the queue costs more")
 {
   PlacementWorld world;
