Limits that change a little are not logged; tests share what stood twice

A limit that is named anew in each answer would have each daemon log a line for each; now a line comes when it begins, ends or is quite another. Daemons that the store's list still has though they are gone for good count only at a daemon's start, not every five minutes.

--- a/src/coord/EngineLimits.cpp
+++ b/src/coord/EngineLimits.cpp
@@ -42,12 +42,10 @@
   news.rate = aLimit ? *aLimit : found->second.news.rate;
   Limit& limit = this->limits[aEngine];
   const bool begins = !known || (limit.news.ended && !news.ended);
-  const bool changed =
-    begins || limit.news.ended != news.ended || limit.news.rate != news.rate;
-  this->Apply(limit, news, aNow);
-  const bool falls = !news.ended && news.rate.perS < kToldFall * limit.told;
+  const bool other = this->Apply(limit, news, aNow);
+  const bool falls = !news.ended && news.rate.perS < kOtherPart * limit.told;
   limit.urgent = limit.urgent || begins || falls;
-  return changed;
+  return other;
 }
 
 bool
@@ -62,24 +60,27 @@
     return false;
   }
   Limit& limit = this->limits[aNews.engine];
-  const bool changed =
-    !known || limit.news.ended != aNews.ended || limit.news.rate != aNews.rate;
-  this->Apply(limit, aNews, aNow);
+  const bool other = this->Apply(limit, aNews, aNow);
   limit.told = aNews.rate.perS;
   limit.urgent = false;
-  return changed;
+  return other;
 }
 
-void
+bool
 EngineLimits::Apply(Limit& aLimit, const LimitNews& aNews, TimePoint aNow)
 {
   this->Fill(aLimit, aNow); // at the rate until now
+  const double rate = aNews.ended ? 0 : aNews.rate.perS;
+  const bool other =
+    rate < kOtherPart * aLimit.noted || aLimit.noted < kOtherPart * rate;
+  aLimit.noted = other ? rate : aLimit.noted;
   const bool ends = aNews.ended && !aLimit.news.ended;
   if (ends) {
     aLimit.endedAt = aNow;
   }
   aLimit.news = aNews;
   this->FindPart(aLimit, aNow);
+  return other;
 }
 
 void
--- a/src/coord/EngineLimits.h
+++ b/src/coord/EngineLimits.h
@@ -66,8 +66,9 @@
   /** How long the end of a limit is remembered, so that an older word does not
    * bring it back. */
   static constexpr Millis kEndRemembered{ 60000 };
-  /** A limit that falls below this part of what was told is told at once. */
-  static constexpr double kToldFall = 0.7;
+  /** A limit is quite another below this part of what it was, or when it was
+   * below this part of what it is. */
+  static constexpr double kOtherPart = 0.7;
   /** Limits in one regular word; each word has others. */
   static constexpr std::size_t kMostTold = 8;
 
@@ -79,13 +80,13 @@
   EngineLimits& operator=(const EngineLimits&) = delete;
 
   /** An answer of the engine came, and named the limit or none.
-   * \return whether what is known of it has changed */
+   * \return whether the limit begins, ends, or is quite another */
   bool Answered(const InstanceId& aEngine,
                 std::int64_t aBorn,
                 std::optional<RequestRate> aLimit,
                 TimePoint aNow);
   /** Another daemon tells what it knows. Older knowledge changes nothing.
-   * \return whether what is known of the limit has changed */
+   * \return as for Answered */
   bool Told(const LimitNews& aNews, TimePoint aNow);
   /** The engine has gone or begun another life. */
   void Forget(const InstanceId& aEngine) { this->limits.erase(aEngine); }
@@ -119,7 +120,8 @@
   {
     LimitNews news;
     TimePoint endedAt;
-    double told = 0; // rate that the others know; 0: none
+    double told = 0;  // rate that the others know; 0: none
+    double noted = 0; // the last one that was quite another; 0: none
     bool urgent = false;
     // This daemon's part.
     double saved = 0; // requests
@@ -132,7 +134,8 @@
   /** The engine's limit; null when it has none. */
   [[nodiscard]] Limit* Find(const InstanceId& aEngine, TimePoint aNow);
   [[nodiscard]] static RequestRate Rate(const Limit& aLimit, TimePoint aNow);
-  void Apply(Limit& aLimit, const LimitNews& aNews, TimePoint aNow);
+  /** \return as Answered. */
+  bool Apply(Limit& aLimit, const LimitNews& aNews, TimePoint aNow);
   void FindPart(Limit& aLimit, TimePoint aNow) const;
   void Fill(Limit& aLimit, TimePoint aNow) const;
 
--- a/src/serve/PeerLink.cpp
+++ b/src/serve/PeerLink.cpp
@@ -387,7 +387,11 @@
           const DaemonId id{ member.id() };
           this->state.peers.Learn(id, member.address());
           this->state.quotaExchange.Learn(id, ServingState::Now());
-          this->state.limitSharers.Learn(id, ServingState::Now());
+          // Later on daemons are known by their words, and the list still has
+          // those that are gone for good.
+          if (!asked) {
+            this->state.limitSharers.Learn(id, ServingState::Now());
+          }
         }
       }
       this->state.peers.Listed();
--- a/test/LimitWorld.cpp
+++ b/test/LimitWorld.cpp
@@ -1,5 +1,7 @@
 #include "LimitWorld.h"
 
+#include "WordTimes.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,11 +10,6 @@
 namespace {
 
 constexpr Millis kStep{ 1 };
-constexpr Millis kEvery{ 150 };
-constexpr Millis kEveryForEach{ 12 };
-constexpr Millis kSilent{ 1500 };
-constexpr Millis kSilentForEach{ 36 };
-constexpr std::size_t kMostAtOnce = 12;
 constexpr std::uint64_t kUrgentWithinMs = 100;
 constexpr std::uint64_t kSoonestAnswerMs = 40;
 constexpr std::uint64_t kAnswerSpreadMs = 1200;
@@ -41,20 +38,12 @@
   }
 }
 
-Millis
-LimitWorld::Interval() const
-{
-  const auto count = static_cast<std::int64_t>(this->daemons.size());
-  return std::max(kEvery, kEveryForEach * count);
-}
-
 void
 LimitWorld::Start(std::size_t aDaemon)
 {
   Daemon& daemon = this->daemons[aDaemon];
   daemon.sharers = std::make_unique<LimitSharers>(IdOf(aDaemon), this->now);
-  const auto count = static_cast<std::int64_t>(this->daemons.size());
-  daemon.sharers->SetSilence(std::max(kSilent, kSilentForEach * count));
+  daemon.sharers->SetSilence(WordSilence(this->daemons.size()));
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     daemon.sharers->Learn(IdOf(i), this->now);
   }
@@ -64,7 +53,8 @@
   daemon.awakeAt = this->now;
   daemon.urgentAt.reset();
   ++daemon.life;
-  const auto interval = static_cast<std::uint64_t>(this->Interval().count());
+  const auto interval =
+    static_cast<std::uint64_t>(WordInterval(this->daemons.size()).count());
   daemon.wordAt = this->now + Millis(this->random.Below(interval));
 }
 
@@ -89,9 +79,9 @@
 {
   Daemon& daemon = this->daemons[aDaemon];
   const std::size_t count = this->daemons.size();
-  const std::size_t parts = (count + kMostAtOnce - 1) / kMostAtOnce;
-  daemon.wordAt =
-    daemon.wordAt + this->Interval() / static_cast<std::int64_t>(parts);
+  const std::size_t parts = (count + kWordAtOnce - 1) / kWordAtOnce;
+  daemon.wordAt = daemon.wordAt + WordInterval(this->daemons.size()) /
+                                    static_cast<std::int64_t>(parts);
   daemon.wordPart = (daemon.wordPart + 1) % parts;
   daemon.limits->Expire(this->now);
   Word word;
--- a/test/LimitWorld.h
+++ b/test/LimitWorld.h
@@ -101,7 +101,6 @@
   {
     return this->daemons[aDaemon].awakeAt <= this->now;
   }
-  [[nodiscard]] Millis Interval() const;
 
   LimitNet net;
   TimePoint now{ 100000 };
--- a/test/PlatformWorld.cpp
+++ b/test/PlatformWorld.cpp
@@ -189,6 +189,20 @@
   co_return view;
 }
 
+Task<std::size_t>
+PlatformWorld::AskMany(std::size_t aCount)
+{
+  constexpr unsigned kOk = 200;
+  std::size_t answered = 0;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    CallerSend send;
+    send.attempt = "many-" + std::to_string(i);
+    const CallerView seen = co_await this->Ask(std::move(send));
+    answered += seen.status == kOk ? 1 : 0;
+  }
+  co_return answered;
+}
+
 void
 PlatformWorld::Run(Task<void> aTask)
 {
--- a/test/PlatformWorld.h
+++ b/test/PlatformWorld.h
@@ -62,6 +62,9 @@
                       const std::string& aState = "ready") const;
   /** Sends one request to the daemon. */
   Task<CallerView> Ask(CallerSend aSend);
+  /** Sends requests one after the other.
+   * \return those that were answered with 200 */
+  Task<std::size_t> AskMany(std::size_t aCount);
   /** Runs the test's coroutine to its end. */
   void Run(Task<void> aTask);
 
--- a/test/QuotaWorld.cpp
+++ b/test/QuotaWorld.cpp
@@ -1,5 +1,7 @@
 #include "QuotaWorld.h"
 
+#include "WordTimes.h"
+
 #include <algorithm>
 #include <string>
 
@@ -8,11 +10,6 @@
 namespace {
 
 constexpr Millis kStep{ 1 };
-constexpr Millis kEvery{ 150 };
-constexpr Millis kEveryForEach{ 12 };
-constexpr Millis kSilent{ 1500 };
-constexpr Millis kSilentForEach{ 36 };
-constexpr std::size_t kMostAtOnce = 12;
 constexpr double kMillisPerSecond = 1000;
 
 std::string
@@ -51,8 +48,7 @@
 Millis
 QuotaWorld::Interval() const
 {
-  const auto count = static_cast<std::int64_t>(this->daemons.size());
-  return std::max(kEvery, kEveryForEach * count);
+  return WordInterval(this->daemons.size());
 }
 
 void
@@ -144,7 +140,7 @@
 {
   Daemon& daemon = this->daemons[aDaemon];
   const std::size_t count = this->daemons.size();
-  const std::size_t parts = (count + kMostAtOnce - 1) / kMostAtOnce;
+  const std::size_t parts = (count + kWordAtOnce - 1) / kWordAtOnce;
   daemon.wordAt =
     daemon.wordAt + this->Interval() / static_cast<std::int64_t>(parts);
   daemon.wordPart = (daemon.wordPart + 1) % parts;
@@ -157,8 +153,7 @@
 void
 QuotaWorld::Refresh(Daemon& aDaemon)
 {
-  const auto count = static_cast<std::int64_t>(this->daemons.size());
-  const Millis silent = std::max(kSilent, kSilentForEach * count);
+  const Millis silent = WordSilence(this->daemons.size());
   const auto index = static_cast<std::size_t>(&aDaemon - &this->daemons[0]);
   const bool reaches = !(this->cutFromStore && this->cutOff.contains(index));
   TeamQuotas& quotas = *aDaemon.quotas;
--- a/test/failure/EngineLimitTest.cpp
+++ b/test/failure/EngineLimitTest.cpp
@@ -6,20 +6,6 @@
 
 namespace {
 
-/** Requests one after the other. \return those answered with 200 */
-Task<std::size_t>
-AskMany(PlatformWorld& aWorld, std::size_t aCount)
-{
-  std::size_t answered = 0;
-  for (std::size_t i = 0; i < aCount; ++i) {
-    CallerSend send;
-    send.attempt = "many-" + std::to_string(i);
-    const CallerView seen = co_await aWorld.Ask(std::move(send));
-    answered += seen.status == 200 ? 1 : 0;
-  }
-  co_return answered;
-}
-
 /** The daemon has run for so long that it may use parts of limits. */
 Task<void>
 Join()
@@ -70,7 +56,7 @@
   constexpr std::size_t kAsked = 30;
   world.Run([](PlatformWorld& aWorld, std::size_t& aAnswered) -> Task<void> {
     co_await Join();
-    aAnswered = co_await AskMany(aWorld, kAsked);
+    aAnswered = co_await aWorld.AskMany(kAsked);
   }(world, answered));
   CHECK(answered == kAsked);
   CHECK(needy.arrivals.size() <= 2); // the one that told, and one of the part
@@ -89,7 +75,7 @@
                CallerView& aRefused,
                Millis& aTook) -> Task<void> {
     co_await Join();
-    co_await AskMany(aWorld, 2);
+    co_await aWorld.AskMany(2);
     const TimePoint began = ServingState::Now();
     CallerSend send;
     aRefused = co_await aWorld.Ask(std::move(send));
@@ -111,7 +97,7 @@
     const TimePoint now = ServingState::Now();
     aWorld.state->engineLimits.Told(
       LimitNews{ InstanceId{ "e1" }, 1, RequestRate{ 1 }, false, now }, now);
-    co_await AskMany(aWorld, 20);
+    co_await aWorld.AskMany(20);
   }(world));
   CHECK(needy.arrivals.empty()); // it has no part before it is known to all
 }
--- a/test/failure/StoreFeedTest.cpp
+++ b/test/failure/StoreFeedTest.cpp
@@ -123,12 +123,8 @@
     co_await Settle();
     aWorld.store.Put(kServers, "e1", aWorld.EntryOf("e1", "draining"));
     co_await SettleList();
-    for (int i = 0; i < 8; ++i) {
-      CallerSend send;
-      send.attempt = "a" + std::to_string(i);
-      const CallerView seen = co_await aWorld.Ask(send);
-      CHECK(seen.status == 200);
-    }
+    const std::size_t served = co_await aWorld.AskMany(8);
+    CHECK(served == 8);
   }(world));
   CHECK(leaving.arrivals.empty());
 }
@@ -153,12 +149,8 @@
   news->set_value(world.EntryOf("e1"));
   TakeStoreWord(*world.state, word);
   world.Run([](PlatformWorld& aWorld) -> Task<void> {
-    for (int i = 0; i < 4; ++i) {
-      CallerSend send;
-      send.attempt = "a" + std::to_string(i);
-      const CallerView seen = co_await aWorld.Ask(send);
-      CHECK(seen.status == 200);
-    }
+    const std::size_t served = co_await aWorld.AskMany(4);
+    CHECK(served == 4);
   }(world));
   CHECK(leaving.arrivals.empty());
   CHECK(staying.arrivals.size() == 4);
@@ -289,12 +281,8 @@
     aWorld.store.down = false;
     aWorld.store.Put(kServers, "e1", std::nullopt);
     co_await SettleList();
-    for (int i = 0; i < 8; ++i) {
-      CallerSend send;
-      send.attempt = "a" + std::to_string(i);
-      const CallerView seen = co_await aWorld.Ask(send);
-      CHECK(seen.status == 200);
-    }
+    const std::size_t served = co_await aWorld.AskMany(8);
+    CHECK(served == 8);
   }(world));
   CHECK(leaving.arrivals.empty());
   CHECK(staying.arrivals.size() == 8);
@@ -318,12 +306,8 @@
     }
     aWorld.store.Put(kServers, "e1", std::nullopt);
     co_await SettleList();
-    for (int i = 0; i < 8; ++i) {
-      CallerSend send;
-      send.attempt = "a" + std::to_string(i);
-      const CallerView seen = co_await aWorld.Ask(send);
-      CHECK(seen.status == 200);
-    }
+    const std::size_t served = co_await aWorld.AskMany(8);
+    CHECK(served == 8);
   }(world));
   CHECK(leaving.arrivals.empty());
   CHECK(staying.arrivals.size() == 8);
@@ -379,12 +363,8 @@
     TakeStoreWord(*aWorld.state, word);
     aWorld.store.Put(kServers, "e1", std::nullopt);
     co_await SettleList();
-    for (int i = 0; i < 8; ++i) {
-      CallerSend send;
-      send.attempt = "a" + std::to_string(i);
-      const CallerView seen = co_await aWorld.Ask(send);
-      CHECK(seen.status == 200);
-    }
+    const std::size_t served = co_await aWorld.AskMany(8);
+    CHECK(served == 8);
   }(world));
   CHECK(leaving.arrivals.empty());
   CHECK(staying.arrivals.size() == 8);
