Retries are shared with daemons that are not heard, too

The class of the named limits looked for elsewhere: the slack of a service's retries is divided by the daemons that are heard, which right after all were killed is one for each. Each then takes the whole slack, as many times over as there are daemons. The new test failed before: the retry was sent with 20 other daemons listed and none heard.

--- a/src/coord/LimitSharers.h
+++ b/src/coord/LimitSharers.h
@@ -45,6 +45,9 @@
 
   /** Whether this daemon may use its parts. */
   [[nodiscard]] bool MayUse(TimePoint aNow) const;
+  /** All daemons known, this one with them: those that are not heard too, as
+   * they may be up. */
+  [[nodiscard]] std::size_t Known() const { return this->peers.size() + 1; }
   /** Daemons that share now, this one with them. */
   [[nodiscard]] std::size_t Count(TimePoint aNow) const;
   /** Whether this daemon is one of the aParts that share what aKey names, by
--- a/src/coord/RetryWindow.h
+++ b/src/coord/RetryWindow.h
@@ -43,7 +43,8 @@
   /** Requests for the service here, in the mean of the window. */
   [[nodiscard]] RequestRate RequestsLately(const ServiceId& aService,
                                            TimePoint aNow);
-  /** Takes one retry. \return false when none is left. */
+  /** Takes one retry. \return false when none is left.
+   * \param aDaemons all that may use the allowance, heard or not */
   bool Take(const ServiceId& aService, std::size_t aDaemons, TimePoint aNow);
 
 private:
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -155,7 +155,7 @@
     TimePoint firstSeen;
     TimePoint grewAt; // more engines were seen than before
     bool hasOrders = false;
-    double lost = 0; // engines that others must stand in for
+    double lost = 0;              // engines that others must stand in for
     TimePoint refusedUntil;       // reclaimable ones
     std::optional<Position> move; // the newest order to move it
     unsigned mostArriving = 0;    // engines of its new version, seen at once
--- a/src/serve/RequestRun.cpp
+++ b/src/serve/RequestRun.cpp
@@ -174,8 +174,9 @@
   if (this->mayHaveRun && suspect) {
     return false;
   }
-  return this->state.retries.Take(
-    this->request.service, this->state.Daemons(), ServingState::Now());
+  return this->state.retries.Take(this->request.service,
+                                  this->state.limitSharers.Known(),
+                                  ServingState::Now());
 }
 
 Task<void>
--- a/test/failure/ServingRequestTest.cpp
+++ b/test/failure/ServingRequestTest.cpp
@@ -275,4 +275,27 @@
   CHECK(last == 502);
 }
 
+// All daemons start again at once, and each takes all retries for its own.
+TEST_CASE("daemons that have not heard each other yet share the retries")
+{
+  PlatformWorld world(22380);
+  auto& one = world.AddEngine("e1", "plain");
+  auto& other = world.AddEngine("e2", "plain");
+  constexpr int kListed = 20;
+  for (int i = 0; i < kListed; ++i) {
+    world.state->limitSharers.Learn(DaemonId{ "other-" + std::to_string(i) },
+                                    ServingState::Now());
+  }
+  one.steps.assign(1, standin::EngineStep{ Kind::eTurnAway, 0, false });
+  other.steps = one.steps;
+  unsigned status = 0;
+  world.Run([](PlatformWorld& aWorld, unsigned& aStatus) -> Task<void> {
+    CallerSend send;
+    const CallerView seen = co_await aWorld.Ask(std::move(send));
+    aStatus = seen.status;
+  }(world, status));
+  CHECK(status == 503);
+  CHECK(one.arrivals.size() + other.arrivals.size() == 1);
+}
+
 } // namespace toucanshed::test
