--- a/standin/platform/Engine.h
+++ b/standin/platform/Engine.h
@@ -60,7 +60,7 @@
   std::vector<EngineArrival> arrivals;
   std::size_t hungUp = 0; // callers that left while it was at work
   bool streams = false;
-  std::string limit; // named in each answer; empty: none
+  std::string limit;        // named in each answer; empty: none
   std::uint64_t events = 5; // of each stream; ids run from 0
 
 private:
