--- a/test/failure/EngineLimitTest.cpp
+++ b/test/failure/EngineLimitTest.cpp
@@ -21,7 +21,7 @@
   constexpr double kPerS = 1;
   constexpr std::size_t kSeconds = 4;
   constexpr std::size_t kAllowed = 11; // 1.5 * kPerS * kSeconds + 5
-  PlatformWorld world(22330);
+  PlatformWorld world(22630);
   auto& needy = world.AddEngine("e1", "plain");
   needy.limit = std::to_string(kPerS);
   std::size_t before = 0;
@@ -48,7 +48,7 @@
 // One engine in need takes callers' answers with it though others have room.
 TEST_CASE("requests beyond an engine's limit go to the other engines")
 {
-  PlatformWorld world(22340);
+  PlatformWorld world(22640);
   auto& needy = world.AddEngine("e1", "plain");
   auto& other = world.AddEngine("e2", "plain");
   needy.limit = "0.5";
@@ -66,7 +66,7 @@
 // A request that cannot be served waits until its caller gives up.
 TEST_CASE("a request that engines in need have no room for is refused at once")
 {
-  PlatformWorld world(22350);
+  PlatformWorld world(22650);
   auto& needy = world.AddEngine("e1", "plain");
   needy.limit = "0.5";
   CallerView refused;
@@ -90,7 +90,7 @@
 // Daemons that never sent to the engine pass its limit together.
 TEST_CASE("a limit that another daemon tells is kept to")
 {
-  PlatformWorld world(22360);
+  PlatformWorld world(22660);
   auto& needy = world.AddEngine("e1", "plain");
   needy.limit = "1";
   world.Run([](PlatformWorld& aWorld) -> Task<void> {
@@ -105,7 +105,7 @@
 // Bytes that are no number lift a limit, and the engine is flooded.
 TEST_CASE("a limit that cannot be read is told from none")
 {
-  PlatformWorld world(22370);
+  PlatformWorld world(22670);
   const BackendFormat& format = world.state->wire.backends;
   http::fields fields;
   CHECK_FALSE(format.read(200, fields).limit.has_value());
--- a/test/failure/ServingRequestTest.cpp
+++ b/test/failure/ServingRequestTest.cpp
@@ -278,7 +278,7 @@
 // All daemons start again at once, and each takes all retries for its own.
 TEST_CASE("daemons that have not heard each other yet share the retries")
 {
-  PlatformWorld world(22380);
+  PlatformWorld world(22680);
   auto& one = world.AddEngine("e1", "plain");
   auto& other = world.AddEngine("e2", "plain");
   constexpr int kListed = 20;
--- a/test/failure/StoreFeedTest.cpp
+++ b/test/failure/StoreFeedTest.cpp
@@ -191,7 +191,7 @@
 // A request placed just before the word that its engine leaves goes there.
 TEST_CASE("a request that waits to connect as its engine leaves goes elsewhere")
 {
-  PlatformWorld world(22320);
+  PlatformWorld world(22620);
   auto& one = world.AddEngine("e1", "plain");
   auto& other = world.AddEngine("e2", "plain");
   std::string chosen;
@@ -216,7 +216,7 @@
 TEST_CASE("a list whose read failed once is read again soon among hundreds")
 {
   constexpr int kOthers = 294;
-  PlatformWorld world(22300);
+  PlatformWorld world(22600);
   world.AddEngine("e1", "plain");
   world.store.Put(kServers, "e1", world.EntryOf("e1"));
   world.Run([](PlatformWorld& aWorld) -> Task<void> {
@@ -242,7 +242,7 @@
 TEST_CASE("a topic whose history was dropped is read again at once")
 {
   constexpr int kOthers = 294;
-  PlatformWorld world(22310);
+  PlatformWorld world(22610);
   world.store.Put(kOperator, "config", PlatformWorld::CatalogText(3));
   world.Run([](PlatformWorld& aWorld) -> Task<void> {
     HearOthers(*aWorld.state, kOthers);
