Responses of engines are logged with what they say about the engine

The stand-in engine sends them. Nothing decides by them yet.

Ways not taken: an event of its own for each response, which at 25 requests a second and engine would be the largest part of the log.

--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -245,6 +245,8 @@
   this->sentAt = ServingState::Now();
   this->responseStarted = false;
   this->responseFailed = false;
+  this->engineLeaving = false;
+  this->engineRest = Millis(0);
   SendContext context;
   context.backend = aPlacement.backend;
   context.timeLeft = this->TimeLeft();
@@ -417,6 +419,8 @@
       .With("outcome", NameOf(aOutcome))
       .With("why", aOutcome == SendOutcome::eResponded ? "" : aReason)
       .With("ms", (now - this->sentAt).count())
+      .With("engine_leaving", this->engineLeaving ? 1 : 0)
+      .With("engine_rest_ms", this->engineRest.count())
       .With("expected_ms", static_cast<std::int64_t>(aPlacement.expectedMs))
       .With("ahead_tokens", aPlacement.queuedTokens)
       .With("events", this->splitter.ReturnedCount()));
@@ -453,6 +457,8 @@
             this->sends > 0 ? (this->sentAt - this->request.arrived).count()
                             : -1)
       .With("first_ms", untilFirstEvent.count())
+      .With("engine_leaving", this->engineLeaving ? 1 : 0)
+      .With("engine_rest_ms", this->engineRest.count())
       .With("target_ms", this->request.route->latencyTarget.count())
       .With("expected_ms", static_cast<std::int64_t>(placement.expectedMs))
       .With("ahead_tokens", placement.queuedTokens)
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -120,6 +120,8 @@
   bool usageCounted = false;    // towards the team's usage
   bool responseStarted = false; // the current back end has begun its response
   bool responseFailed = false;  // the current response reports a failure
+  bool engineLeaving = false;   // by the current response
+  Millis engineRest{ 0 };       // that the current response asks for
   TimePoint responseStartedAt;  // start of the current response
   TimePoint sentAt;             // of the current send
   TimePoint firstEventAt;       // 0 before the first event
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -28,6 +28,8 @@
     co_return SendOutcome::eNotRun;
   }
   this->UpdateRateLimit(aPlacement.backend, head);
+  this->engineLeaving = head.leaving;
+  this->engineRest = head.rest.value_or(Millis(0));
   if (head.attempt != this->request.incoming.attempt) {
     // A late or duplicate response to another request.
     this->lastFailure = "answer of another request";
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -42,6 +42,11 @@
    * rate-limited. */
   std::optional<RequestRate> limit;
   bool unreadableLimit = false; // given but unreadable; the known one stays
+  bool leaving = false; // the back end accepts no more requests from anyone
+  /** How long the back end accepts no request from this daemon; nothing when it
+   * does not say. */
+  std::optional<Millis> rest;
+  bool unreadableRest = false; // given but unreadable
 };
 
 /** The callers' protocol. */
--- a/standin/platform/Engine.cpp
+++ b/standin/platform/Engine.cpp
@@ -26,6 +26,9 @@
   if (!this->rateLimit.empty()) {
     response.set("Server-Limit", this->rateLimit);
   }
+  if (this->leaving) {
+    response.set("Server-Leaving", "1");
+  }
   return response;
 }
 
@@ -79,6 +82,9 @@
     case ScriptedResponse::Kind::eReject:
       response = this->MakeResponseHead(aRequest, 503);
       response.set("Not-Executed", "1");
+      if (!this->rest.empty()) {
+        response.set(http::field::retry_after, this->rest);
+      }
       break;
     case ScriptedResponse::Kind::eServerError:
       response = this->MakeResponseHead(aRequest, 500);
