Engines that say in their responses that they leave get no more requests

Cause: only the backend list, a peer's heartbeat and a 421 marked an engine as leaving; no code read what its responses say. The class: what an engine says of itself was kept with its entry in the list, so it could be missing (not read), be dropped with the entry and come back without it, or be attributed to another incarnation; and each way to an engine had its own last look, or none.

Change: EngineNotices keeps the word by incarnation, whether or not the engine is listed; only an entry of a later incarnation is free of it. The responder is the incarnation that ran when the request was written, which the list may not show yet, so the word binds all that had started by then. SendGate is the one check of all sends, at the choice and before the request is written: gone, restarted, leaving, drained, regions, versions, limits, warm-up, permits. A request refused there is not a send and counts as no repeat. Heartbeats name the incarnation, and hold for entries that are read later.

In logical time at 7, 69 and 330 daemons, with late lists, entries that lapse, pauses, restarts of daemons and engines: no request after the word.

Ways not taken: a datagram to all at once, as for limits: at 295 daemons a failure domain that leaves would cost 57,000 of them, and each daemon is told by its own first response at the latest. Dropping the mark when a response comes without the field: responses overtake each other.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -20,7 +20,13 @@
     backend.localLoad = own;
   }
   backend.entry = aEntry;
-  backend.leaving = backend.leaving || aEntry.leaving;
+  const bool hasIncarnation = aEntry.incarnation != 0;
+  if (hasIncarnation && aEntry.leaving) {
+    this->notices.RecordLeaving(aEntry.id, aEntry.incarnation);
+  }
+  const bool noted =
+    hasIncarnation && this->notices.IsLeaving(aEntry.id, aEntry.incarnation);
+  backend.leaving = backend.leaving || aEntry.leaving || noted;
   backend.graceUntil.reset();
 }
 
@@ -62,12 +68,21 @@
   return dropped;
 }
 
-void
-BackendTable::MarkLeaving(const InstanceId& aId)
+bool
+BackendTable::MarkLeaving(const InstanceId& aId, std::int64_t aStartedBy)
 {
-  if (Backend* backend = this->Find(aId)) {
-    backend->leaving = true;
+  if (aStartedBy != 0) {
+    this->notices.RecordLeaving(aId, aStartedBy);
   }
+  Backend* backend = this->Find(aId);
+  const bool binds =
+    backend != nullptr &&
+    (aStartedBy == 0 || backend->entry.incarnation <= aStartedBy);
+  if (!binds || backend->leaving) {
+    return false;
+  }
+  backend->leaving = true;
+  return true;
 }
 
 void
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "EngineNotices.h"
 #include "base/Types.h"
 
 #include <cstdint>
@@ -141,8 +142,11 @@
   /** The entry no longer describes a usable back end. */
   void MarkEntryUnusable(const InstanceId& aId);
   /** The back end itself or another daemon reported that it accepts no more
-   * requests. */
-  void MarkLeaving(const InstanceId& aId);
+   * requests. Holds also for entries that are listed later.
+   * \param aStartedBy binds the incarnations that started by then, see
+   *   EngineNotices; 0: only the one listed now
+   * \return whether a listed back end begins to leave thereby */
+  bool MarkLeaving(const InstanceId& aId, std::int64_t aStartedBy);
   /** The back end returned a usable response. */
   void RecordSuccess(const InstanceId& aId);
   /** The back end sent some data. */
@@ -175,6 +179,7 @@
   static constexpr double kFailureRateWeight = 0.1;
 
   std::map<InstanceId, Backend> backends;
+  EngineNotices notices;
 };
 
 } // namespace toucanshed
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -39,27 +39,18 @@
     spec != nullptr && spec->engine ? &*spec->engine : nullptr;
   this->state.CheckForPause();
   const TimePoint now = ServingState::Now();
-  std::vector<Backend*> backends =
-    this->state.backends.ForService(this->request.service);
-  std::erase_if(backends, [&](const Backend* aBackend) {
-    return !this->IsAllowed(*aBackend) ||
-           !this->state.rollouts.MayUse(this->request.service,
-                                        aBackend->entry.version,
-                                        this->request.incoming.attempt,
-                                        now);
-  });
-  this->ExcludeRateLimited(backends, placementRequest.rateLimited, now);
-  this->ExcludeAtWarmupBound(backends, placementRequest.rateLimited, now);
-  return this->ServicePlacer().Choose(backends, placementRequest, traits, now);
+  SendChoice choice =
+    this->state.sendGate.Choose(this->request.service, this->isAllowed, now);
+  this->wait = choice.wait;
+  this->waitReason = choice.waitReason;
+  placementRequest.rateLimited = std::move(choice.limited);
+  return this->ServicePlacer().Choose(
+    choice.backends, placementRequest, traits, now);
 }
 
 bool
-RequestForwarder::IsAllowed(const Backend& aBackend) const
+RequestForwarder::IsRegionAllowed(const ZoneId& aZone) const
 {
-  const ZoneId& zone = aBackend.entry.zone;
-  if (this->state.domainDrains.IsDrained(zone)) {
-    return false;
-  }
   const std::set<RegionId>& routeRegions = this->request.route->allowedRegions;
   const Team* team = this->request.team;
   const bool isFree =
@@ -67,7 +58,7 @@
   if (isFree) {
     return true;
   }
-  const auto region = this->state.settings.regionOfZone.find(zone);
+  const auto region = this->state.settings.regionOfZone.find(aZone);
   if (region == this->state.settings.regionOfZone.end()) {
     return false;
   }
@@ -78,57 +69,6 @@
          (team == nullptr || allows(team->allowedRegions));
 }
 
-void
-RequestForwarder::ExcludeRateLimited(std::vector<Backend*>& aBackends,
-                                     std::set<InstanceId>& aAllowed,
-                                     TimePoint aNow)
-{
-  this->rateLimitWait.reset();
-  EngineLimits& limits = this->state.engineLimits;
-  if (limits.Empty()) {
-    return;
-  }
-  std::erase_if(aBackends, [&](const Backend* aBackend) {
-    const InstanceId& id = aBackend->entry.id;
-    const LimitDecision decision = limits.Check(id, aNow);
-    if (decision == LimitDecision::eAllowed) {
-      aAllowed.insert(id);
-    }
-    if (decision != LimitDecision::eExhausted) {
-      return false;
-    }
-    const Millis wait = limits.RetryDelay(id, aNow);
-    this->rateLimitWait = std::min(this->rateLimitWait.value_or(wait), wait);
-    return true;
-  });
-}
-
-void
-RequestForwarder::ExcludeAtWarmupBound(std::vector<Backend*>& aBackends,
-                                       std::set<InstanceId>& aCold,
-                                       TimePoint aNow)
-{
-  WarmupLimits& limits = this->state.warmupLimits;
-  if (!limits.HasBound(this->request.service)) {
-    return;
-  }
-  const std::set<InstanceId>& cold = limits.RecentlyCold(aNow);
-  aCold.insert(cold.begin(), cold.end());
-  const auto& refusals = limits.Refusals(aNow);
-  if (refusals.empty()) {
-    return;
-  }
-  std::erase_if(aBackends, [&](const Backend* aBackend) {
-    const auto refused = refusals.find(aBackend->entry.id);
-    if (refused == refusals.end()) {
-      return false;
-    }
-    const Millis wait = refused->second - aNow;
-    this->rateLimitWait = std::min(this->rateLimitWait.value_or(wait), wait);
-    return true;
-  });
-}
-
 DeferralDecision
 RequestForwarder::DecideDeferral(const Placement& aPlacement)
 {
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -135,6 +135,7 @@
                        backend != nullptr && !backend->entry.leaving;
   if (changed) {
     LogBackendChange(aState, *backend, "leaving", aPosition, aRead);
+    aState.backends.MarkLeaving(aId, backend->entry.incarnation);
     aState.backends.MarkEntryUnusable(aId);
   }
 }
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -214,8 +214,14 @@
   this->state.quotaExchange.ReceiveReport(
     aHeartbeat.quota(), QuotaReportTiming::ePeriodic, now);
   for (const serving::BackendState& backend : aHeartbeat.backends()) {
-    if (backend.leaving()) {
-      this->state.backends.MarkLeaving(InstanceId{ backend.id() });
+    const InstanceId id{ backend.id() };
+    const bool begins =
+      backend.leaving() && this->state.backends.MarkLeaving(id, backend.born());
+    if (begins) {
+      this->state.log.Emit(Event("backend.leaving")
+                             .With("backend", id)
+                             .With("born", backend.born())
+                             .With("from", aHeartbeat.id()));
     }
   }
   for (const serving::FactState& fact : aHeartbeat.facts()) {
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -21,6 +21,7 @@
     entry->set_running(backend.localLoad.running);
     entry->set_prompt_tokens(backend.localLoad.promptTokens);
     entry->set_leaving(leaves);
+    entry->set_born(backend.entry.incarnation);
   }
 }
 
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -60,6 +60,13 @@
   , request(std::move(aRequest))
   , responder(aResponder)
   , splitter(request.incoming.resumeAfter)
+  , isAllowed([this](const Backend& aBackend, TimePoint aNow) {
+    return this->IsRegionAllowed(aBackend.entry.zone) &&
+           this->state.rollouts.MayUse(this->request.service,
+                                       aBackend.entry.version,
+                                       this->request.incoming.attempt,
+                                       aNow);
+  })
 {
 }
 
@@ -126,10 +133,9 @@
       break;
     }
     const auto placement = this->ChooseBackend();
-    const bool mayWait =
-      !placement && this->rateLimitWait &&
-      this->state.warmupLimits.HasBound(this->request.service) &&
-      *this->rateLimitWait <= this->PermitTimeLeft();
+    const bool mayWait = !placement &&
+                         this->waitReason == GateRefusal::eWarmingUp &&
+                         *this->wait <= this->PermitTimeLeft();
     if (mayWait) {
       co_await Sleep(kPermitPollInterval);
       continue;
@@ -137,7 +143,7 @@
     if (!placement) {
       if (this->lastFailure.empty()) {
         this->lastFailure =
-          this->rateLimitWait ? "engines in need take no more" : "no back end";
+          this->waitReason ? ToText(*this->waitReason) : "no back end";
       }
       break;
     }
@@ -197,50 +203,36 @@
 }
 
 bool
-RequestForwarder::ConfirmSend(const InstanceId& aBackend)
+RequestForwarder::ConfirmSend()
 {
-  const TimePoint now = ServingState::Now();
-  const Backend* backend = this->state.backends.Find(aBackend);
-  if (backend == nullptr || backend->leaving || backend->GraceExpired(now)) {
-    this->lastFailure = "the back end left before the send";
-    return false;
-  }
-  if (!this->IsAllowed(*backend)) {
-    this->lastFailure = "the back end's failure domain is drained";
-    return false;
-  }
-  const bool permitExpired =
-    this->permitUntil && ServingState::BootTime() > *this->permitUntil;
-  if (permitExpired) {
-    this->lastFailure = "the permit expired before the send";
-    return false;
+  const SendTime time{ ServingState::Now(),
+                       ServingState::BootTime(),
+                       this->state.ClusterTimeMs() };
+  const auto refusal =
+    this->state.sendGate.Admit(this->ticket, this->isAllowed, time);
+  if (refusal) {
+    this->lastFailure = ToText(*refusal);
   }
-  if (this->limitUse == LimitDecision::eUnlimited) {
-    this->limitUse = this->state.engineLimits.TryAcquire(aBackend, now);
-  }
-  if (this->limitUse == LimitDecision::eExhausted) {
-    this->lastFailure = "the back end named a limit before the send";
-    return false;
-  }
-  return true;
+  return !refusal;
 }
 
 Task<SendOutcome>
 RequestForwarder::SendToBackend(Placement aPlacement)
 {
-  const Backend* backend = this->state.backends.Find(aPlacement.backend);
-  if (backend == nullptr) {
-    this->lastFailure = "the back end left before the send";
+  const auto begun = this->state.sendGate.Begin(
+    aPlacement.backend, this->permitUntil, ServingState::Now());
+  if (!begun) {
+    this->lastFailure = ToText(GateRefusal::eGone);
     co_return SendOutcome::eNotRun;
   }
+  this->ticket = *begun;
+  const Backend* backend = this->state.backends.Find(aPlacement.backend);
   const auto endpoint = ParseEndpoint(backend->entry.address);
   if (!endpoint) {
     this->lastFailure = "address of the back end cannot be read";
     co_return SendOutcome::eNotRun;
   }
   ++this->sends;
-  this->limitUse = this->state.engineLimits.TryAcquire(aPlacement.backend,
-                                                       ServingState::Now());
   this->lastPlacement = aPlacement;
   this->sentAt = ServingState::Now();
   this->responseStarted = false;
@@ -275,8 +267,8 @@
   this->state.promptRates[this->request.service].Add(
     static_cast<double>(aPlacement.uncachedTokens), this->sentAt);
   bool confirmed = true;
-  PreSendCheck confirm = [this, &confirmed, id = aPlacement.backend] {
-    confirmed = this->ConfirmSend(id);
+  PreSendCheck confirm = [this, &confirmed] {
+    confirmed = this->ConfirmSend();
     return confirmed;
   };
   auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
@@ -295,6 +287,9 @@
     this->lastFailure =
       confirmed ? exchange.error().message : this->lastFailure;
   }
+  if (!confirmed) {
+    --this->sends; // nothing was sent, so the next send repeats nothing
+  }
   if (outcome == SendOutcome::eMayHaveRun ||
       outcome == SendOutcome::eDeadlineExceeded) {
     this->mayHaveRun = true;
@@ -379,7 +374,7 @@
 {
   const Millis retryAfter =
     std::max(RetryDelayFor(this->state, this->TimeLeft()),
-             this->rateLimitWait.value_or(Millis(0)));
+             this->wait.value_or(Millis(0)));
   HttpResponse response = MakeLocalResponse(this->state,
                                             this->request.incoming.attempt,
                                             kServiceUnavailable,
@@ -451,7 +446,8 @@
       .With("status", aStatus)
       .With("why", aReason)
       .With("sends", this->sends)
-      .With("within_limit", this->limitUse == LimitDecision::eAllowed ? 1 : 0)
+      .With("within_limit",
+            this->ticket.limitUse == LimitDecision::eAllowed ? 1 : 0)
       .With("stood_back_ms", this->deferredFor.count())
       .With("sent_ms",
             this->sends > 0 ? (this->sentAt - this->request.arrived).count()
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -7,9 +7,9 @@
 #include "ServingRequest.h"
 #include "coord/BackendTable.h"
 #include "coord/DeferralPolicy.h"
-#include "coord/EngineLimits.h"
 #include "coord/EventSplitter.h"
 #include "coord/Placement.h"
+#include "coord/SendGate.h"
 #include "edge/HttpExchange.h"
 #include "edge/HttpResponder.h"
 
@@ -45,6 +45,8 @@
   RequestForwarder(ServingState& aState,
                    ServingRequest aRequest,
                    HttpResponder& aResponder);
+  RequestForwarder(const RequestForwarder&) = delete;
+  RequestForwarder& operator=(const RequestForwarder&) = delete;
 
   /** Precondition: called once. */
   Task<void> Run();
@@ -52,20 +54,9 @@
 private:
   /** Chooses the back end to send to next; nothing when there is none. */
   std::optional<Placement> ChooseBackend();
-  /** Whether an operator's orders let this request go to the back end: neither
-   * a drain of its failure domain nor the allowed regions exclude it. */
-  [[nodiscard]] bool IsAllowed(const Backend& aBackend) const;
-  /** Removes back ends whose rate limits are used up from aBackends and records
-   * when the first of them may accept a request again. Adds those with room
-   * left to aAllowed. */
-  void ExcludeRateLimited(std::vector<Backend*>& aBackends,
-                          std::set<InstanceId>& aAllowed,
-                          TimePoint aNow);
-  /** Removes back ends without room within their warm-up bounds. Adds cold ones
-   * with room to aCold. */
-  void ExcludeAtWarmupBound(std::vector<Backend*>& aBackends,
-                            std::set<InstanceId>& aCold,
-                            TimePoint aNow);
+  /** Whether the allowed regions of the route and the team let this request go
+   * to the failure domain. */
+  [[nodiscard]] bool IsRegionAllowed(const ZoneId& aZone) const;
   [[nodiscard]] DeferralDecision DecideDeferral(const Placement& aPlacement);
   /** How much longer this request looks for a back end with room, from the
    * first time that it met none. */
@@ -74,19 +65,19 @@
   Task<bool> AcquirePermit(InstanceId aBackend);
   [[nodiscard]] bool TakeSendAttempt();
   Task<SendOutcome> SendToBackend(Placement aPlacement);
-  /** Whether a chosen back end may still be sent to, once there is a connection
-   * to it. Counts the send against its rate limit if it has reported one
-   * meanwhile. */
-  [[nodiscard]] bool ConfirmSend(const InstanceId& aBackend);
+  /** Asks the gate whether the request may be written, once there is a
+   * connection to the back end. */
+  [[nodiscard]] bool ConfirmSend();
   Task<SendOutcome> Relay(HttpExchange& aExchange, const Placement& aPlacement);
   Task<SendOutcome> RelayStream(HttpExchange& aExchange,
                                 const Placement& aPlacement);
   Task<SendOutcome> RelayBuffered(HttpExchange& aExchange,
                                   const Placement& aPlacement);
   Task<bool> RelayEvents(HttpExchange& aExchange, const Placement& aPlacement);
-  /** Applies what a response says about its engine's rate limit. */
-  void UpdateRateLimit(const InstanceId& aBackend,
-                       const BackendResponseHead& aHead);
+  /** Applies what a response says about its engine. */
+  void ApplyEngineNotices(const BackendResponseHead& aHead);
+  void MarkLeaving();
+  void UpdateRateLimit(const BackendResponseHead& aHead);
   void RecordResponseStart(const Placement& aPlacement);
   /** Records the send as evidence about its back end's version. */
   void RecordEvidence(const InstanceId& aBackend, SendOutcome aOutcome);
@@ -109,9 +100,11 @@
   EventSplitter splitter;
   std::set<InstanceId> triedBackends;
   std::optional<Placement> lastPlacement;
-  BackendLoadGuard* loadGuard = nullptr;              // of the current send
-  LimitDecision limitUse = LimitDecision::eUnlimited; // of the current send
-  std::optional<Millis> rateLimitWait;  // until a rate limit may have room
+  IsAllowedByOrders isAllowed;
+  BackendLoadGuard* loadGuard = nullptr; // of the current send
+  SendTicket ticket;                     // of the current send
+  std::optional<Millis> wait; // until a back end may accept it; from the gate
+  std::optional<GateRefusal> waitReason;
   std::optional<TimePoint> permitUntil; // of the current send, by BootTime
   std::optional<TimePoint> permitDeadline;
   unsigned sends = 0;
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -23,13 +23,11 @@
   const BackendResponseHead head =
     this->state.wire.backends.read(aExchange.Status(), aExchange.Headers());
   if (head.otherInstance) {
-    this->state.backends.MarkLeaving(aPlacement.backend);
+    this->MarkLeaving();
     this->lastFailure = "another back end has the address";
     co_return SendOutcome::eNotRun;
   }
-  this->UpdateRateLimit(aPlacement.backend, head);
-  this->engineLeaving = head.leaving;
-  this->engineRest = head.rest.value_or(Millis(0));
+  this->ApplyEngineNotices(head);
   if (head.attempt != this->request.incoming.attempt) {
     // A late or duplicate response to another request.
     this->lastFailure = "answer of another request";
@@ -47,21 +45,48 @@
 }
 
 void
-RequestForwarder::UpdateRateLimit(const InstanceId& aBackend,
-                                  const BackendResponseHead& aHead)
+RequestForwarder::MarkLeaving()
 {
+  const InstanceId& id = this->ticket.backend;
+  const std::int64_t startedBy = this->ticket.ResponderStartedBy();
+  if (!this->state.backends.MarkLeaving(id, startedBy)) {
+    return;
+  }
+  this->state.log.Emit(Event("backend.leaving")
+                         .With("backend", id)
+                         .With("born", this->ticket.incarnation)
+                         .With("from", this->state.settings.id)
+                         .With("request", this->request.incoming.attempt));
+}
+
+void
+RequestForwarder::ApplyEngineNotices(const BackendResponseHead& aHead)
+{
+  this->engineLeaving = aHead.leaving;
+  this->engineRest = aHead.rest.value_or(Millis(0));
+  if (aHead.leaving) {
+    this->MarkLeaving();
+  }
+  this->UpdateRateLimit(aHead);
+}
+
+void
+RequestForwarder::UpdateRateLimit(const BackendResponseHead& aHead)
+{
+  const InstanceId& id = this->ticket.backend;
   if (aHead.unreadableLimit) {
-    this->state.log.Emit(
-      Event("backend.limit_unreadable").With("backend", aBackend));
+    this->state.log.Emit(Event("backend.limit_unreadable").With("backend", id));
     return;
   }
-  const Backend* backend = this->state.backends.Find(aBackend);
-  if (backend == nullptr) {
-    return; // the back end is gone, and its limit with it
+  const Backend* backend = this->state.backends.Find(id);
+  const bool isCurrent = backend != nullptr &&
+                         backend->entry.incarnation == this->ticket.incarnation;
+  if (!isCurrent) {
+    return; // the responder is gone, and its limit with it
   }
   EngineLimits& limits = this->state.engineLimits;
   const bool changed = limits.RecordResponse(
-    aBackend, backend->entry.incarnation, aHead.limit, ServingState::Now());
+    id, backend->entry.incarnation, aHead.limit, ServingState::Now());
   if (limits.HasUrgentUpdates()) {
     this->state.sendRateLimits();
   }
@@ -70,7 +95,7 @@
   }
   this->state.log.Emit(
     Event("backend.limit")
-      .With("backend", aBackend)
+      .With("backend", id)
       .With("per_s",
             aHead.limit ? std::to_string(aHead.limit->perSecond) : "none")
       .With("request", this->request.incoming.attempt)
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -32,6 +32,7 @@
   , limitShares(settings.id, startedAt)
   , engineLimits(limitShares)
   , warmupLimits(limitShares)
+  , sendGate(backends, engineLimits, warmupLimits, domainDrains)
   , storeOutage(settings.entryInterval)
   , random(Hash64(settings.id.value, aIncarnation))
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -22,6 +22,7 @@
 #include "coord/QuotaExchange.h"
 #include "coord/RateMeter.h"
 #include "coord/Rollouts.h"
+#include "coord/SendGate.h"
 #include "coord/StoreOutage.h"
 #include "coord/TeamQuotas.h"
 #include "coord/TopicFreshness.h"
@@ -120,6 +121,7 @@
   EngineLimits engineLimits;
   WarmupLimits warmupLimits;
   DomainDrains domainDrains;
+  SendGate sendGate;
   Position dutyFence; // of the duties if this daemon holds them; 0: it does not
   Position dutyLogEnd; // end of the duty records, as read here
   std::optional<TimePoint> storeLostSince; // set while it is unreachable
--- /dev/null
+++ b/test/NoticeSimulation.h
@@ -0,0 +1,108 @@
+/** \file
+ * Simulates, in logical time, daemons that send requests to engines which state
+ * in their responses that they leave, while the backend list is away or is read
+ * late.
+ */
+#pragma once
+
+#include "base/Random.h"
+#include "coord/BackendTable.h"
+#include "coord/DomainDrains.h"
+#include "coord/EngineLimits.h"
+#include "coord/LimitShares.h"
+#include "coord/SendGate.h"
+#include "coord/WarmupLimits.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace toucanshed::test {
+
+class NoticeSimulation
+{
+public:
+  NoticeSimulation(std::size_t aDaemons, std::size_t aEngines);
+
+  /** Simulates requests, each to a random daemon. */
+  void Run(Millis aDuration, double aRequestsPerS);
+  /** The engine states in all responses from now on that it leaves. */
+  void Leave(std::size_t aEngine) { this->engines[aEngine].leaving = true; }
+  /** The engine restarts under its id. */
+  void RestartEngine(std::size_t aEngine);
+  /** All daemons read a list that shows the engines that run as ready, as it
+   * was before any of them left. */
+  void ReadLateList();
+  /** The entries of all engines disappear; those that are in grace stay in
+   * use. */
+  void DropList(bool aInGrace);
+  /** The daemon restarts and knows nothing. */
+  void RestartDaemon(std::size_t aDaemon);
+  /** The daemon does nothing for aDuration. */
+  void Freeze(std::size_t aDaemon, Millis aDuration);
+
+  /** Requests that a daemon sent to an engine after a response of the same
+   * incarnation had told it that the engine leaves. */
+  [[nodiscard]] std::size_t SentToLeaving() const { return this->toLeaving; }
+  /** Requests that an engine received since the last call. */
+  std::size_t TakeArrivals(std::size_t aEngine);
+  /** Daemons that would send nothing to the engine as it leaves. */
+  [[nodiscard]] std::size_t DaemonsThatKnow(std::size_t aEngine);
+
+private:
+  struct Engine
+  {
+    BackendEntry entry;
+    bool leaving = false;
+    std::size_t arrivals = 0;
+  };
+  using EngineLife = std::pair<std::size_t, std::int64_t>;
+  struct Daemon
+  {
+    std::unique_ptr<LimitShares> shares;
+    std::unique_ptr<EngineLimits> limits;
+    std::unique_ptr<WarmupLimits> warmups;
+    std::unique_ptr<DomainDrains> drains;
+    std::unique_ptr<BackendTable> backends;
+    std::unique_ptr<SendGate> gate;
+    std::set<EngineLife> toldLeaving; // by their own responses
+    std::uint64_t life = 0;
+    TimePoint frozenUntil;
+    TimePoint heartbeatAt;
+  };
+  struct Request
+  {
+    std::size_t daemon = 0;
+    std::uint64_t life = 0; // of the daemon
+    unsigned sends = 0;
+  };
+  using Step = std::function<void()>;
+
+  void StartDaemon(std::size_t aDaemon);
+  void After(Millis aDelay, Step aStep);
+  Millis RandomDelay(Millis aMax);
+  void Place(Request aRequest);
+  void Send(Request aRequest, SendTicket aTicket);
+  void Respond(Request aRequest,
+               SendTicket aTicket,
+               EngineLife aFrom,
+               bool aLeaving);
+  void SendHeartbeat(std::size_t aDaemon);
+  void RecordSend(Daemon& aDaemon, EngineLife aTo);
+  /** Runs aStep once the daemon is awake; never if it has restarted. */
+  void WhenAwake(std::size_t aDaemon, std::uint64_t aLife, const Step& aStep);
+
+  TimePoint now{ 100000 };
+  std::vector<Daemon> daemons;
+  std::vector<Engine> engines;
+  std::multimap<TimePoint, Step> steps;
+  double pendingLoad = 0; // fraction of a request carried over
+  std::size_t toLeaving = 0;
+  Random random{ 17 };
+};
+
+} // namespace toucanshed::test
--- a/test/correctness/BackendTableTest.cpp
+++ b/test/correctness/BackendTableTest.cpp
@@ -90,7 +90,7 @@
   // end here.
   BackendTable table;
   table.Put(Entry("e1", 1));
-  table.MarkLeaving(InstanceId{ "e1" });
+  table.MarkLeaving(InstanceId{ "e1" }, 0);
   table.Find(InstanceId{ "e1" })->localLoad.running = 2;
   table.Put(Entry("e1", 1));
   CHECK(table.Find(InstanceId{ "e1" })->leaving);
--- a/test/correctness/ScalePlannerTest.cpp
+++ b/test/correctness/ScalePlannerTest.cpp
@@ -67,7 +67,7 @@
   {
     for (const auto& [id, backend] : this->table.All()) {
       if (backend.entry.zone.value == aZone && backend.entry.reclaimable) {
-        this->table.MarkLeaving(id);
+        this->table.MarkLeaving(id, 0);
       }
     }
   }
@@ -88,7 +88,7 @@
         backend->entry.zone == aOrder.group.zone &&
         backend->entry.reclaimable == aOrder.group.reclaimable;
       if (isDrained) {
-        this->table.MarkLeaving(backend->entry.id);
+        this->table.MarkLeaving(backend->entry.id, 0);
         --surplus;
       }
     }
--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -1,9 +1,26 @@
+#include "test/HeartbeatTiming.h"
+#include "test/NoticeSimulation.h"
 #include "test/PlatformHarness.h"
 
 #include <catch2/catch.hpp>
 
 namespace toucanshed::test {
 
+namespace {
+
+constexpr std::size_t kEngines = 12;
+constexpr double kRequestsPerDaemon = 5; // per second
+
+/** Simulates until every daemon has sent requests to most engines. */
+void
+RunFor(NoticeSimulation& aSimulation, std::size_t aDaemons, Millis aDuration)
+{
+  aSimulation.Run(aDuration,
+                  kRequestsPerDaemon * static_cast<double>(aDaemons));
+}
+
+} // namespace
+
 // Guards against requests to an engine whose responses say that it leaves,
 // while the backend list cannot say so.
 TEST_CASE("an engine gets no request after a response that says it leaves")
@@ -23,4 +40,122 @@
   CHECK(other.receivedRequests.size() == kRequests - 1);
 }
 
+// Guards against a list that is read late, or an entry that lapses and returns,
+// making an engine usable again that has said it leaves.
+TEST_CASE("a late list does not bring back an engine that leaves")
+{
+  for (const std::size_t daemons : { 7, 69, 330 }) {
+    NoticeSimulation simulation(daemons, kEngines);
+    simulation.Leave(0);
+    simulation.Leave(1);
+    for (int round = 0; round < 3; ++round) {
+      RunFor(simulation, daemons, Millis(2000));
+      simulation.ReadLateList();
+      RunFor(simulation, daemons, Millis(500));
+      simulation.DropList(round % 2 == 0);
+      RunFor(simulation, daemons, Millis(200));
+      simulation.ReadLateList();
+    }
+    CHECK(simulation.TakeArrivals(0) > 0); // until each daemon was told
+    RunFor(simulation, daemons, Millis(3000));
+    CHECK(simulation.SentToLeaving() == 0);
+    CHECK(simulation.TakeArrivals(0) == 0);
+    CHECK(simulation.TakeArrivals(2) > 0);
+  }
+}
+
+// Guards against a paused or restarted daemon, or a request that it had placed
+// before, passing by what an engine has said.
+TEST_CASE("pauses and restarts do not pass by an engine's word")
+{
+  for (const std::size_t daemons : { 7, 69, 330 }) {
+    NoticeSimulation simulation(daemons, kEngines);
+    RunFor(simulation, daemons, Millis(1000));
+    simulation.Leave(0);
+    for (std::size_t i = 0; i < daemons; i += 3) {
+      simulation.Freeze(i, Millis(700));
+      RunFor(simulation, daemons, Millis(50));
+      simulation.RestartDaemon((i + 1) % daemons);
+    }
+    RunFor(simulation, daemons, Millis(3000));
+    RunFor(simulation, daemons, 4 * HeartbeatInterval(daemons));
+    CHECK(simulation.TakeArrivals(0) > 0);
+    CHECK(simulation.SentToLeaving() == 0);
+    CHECK(simulation.DaemonsThatKnow(0) == daemons);
+  }
+}
+
+// Guards against a new incarnation being taken for the one that left, and
+// against the word of one that is not listed yet being lost as it is listed.
+TEST_CASE("an engine's word binds the incarnation that said it")
+{
+  for (const std::size_t daemons : { 7, 69, 330 }) {
+    NoticeSimulation simulation(daemons, kEngines);
+    simulation.Leave(0);
+    RunFor(simulation, daemons, Millis(3000));
+    simulation.RestartEngine(0);
+    simulation.ReadLateList();
+    simulation.TakeArrivals(0);
+    RunFor(simulation, daemons, Millis(3000));
+    CHECK(simulation.TakeArrivals(0) > 0);
+    simulation.RestartEngine(1); // not listed yet
+    RunFor(simulation, daemons, Millis(1000));
+    simulation.Leave(1);
+    RunFor(simulation, daemons, Millis(3000));
+    simulation.ReadLateList();
+    RunFor(simulation, daemons, Millis(3000));
+    CHECK(simulation.SentToLeaving() == 0);
+  }
+}
+
+// Guards against a heartbeat about the incarnation before marking a restarted
+// engine, and against one that comes before the entry being lost.
+TEST_CASE("a peer's word about a leaving engine names its incarnation")
+{
+  BackendTable table;
+  BackendEntry entry;
+  entry.id = InstanceId{ "e1" };
+  entry.incarnation = 100;
+  CHECK_FALSE(table.MarkLeaving(entry.id, 100)); // not listed yet
+  table.Put(entry);
+  CHECK(table.Find(entry.id)->leaving);
+  entry.incarnation = 200;
+  table.Put(entry);
+  CHECK_FALSE(table.MarkLeaving(entry.id, 100));
+  CHECK_FALSE(table.Find(entry.id)->leaving);
+  CHECK(table.MarkLeaving(entry.id, 200));
+}
+
+// Guards against a request that waits for its connection being written to an
+// engine that has said meanwhile that it leaves.
+TEST_CASE("a send is refused when its engine has said it leaves")
+{
+  PlatformHarness harness(22690);
+  harness.AddEngine("e1", "plain");
+  ServingState& state = *harness.state;
+  const InstanceId id{ "e1" };
+  const auto allowAll = [](const Backend&, TimePoint) { return true; };
+  const SendTime time{ ServingState::Now(), ServingState::BootTime(), 1 };
+  auto ticket = state.sendGate.Begin(id, std::nullopt, time.now);
+  REQUIRE(ticket);
+  CHECK_FALSE(state.sendGate.Admit(*ticket, allowAll, time));
+  state.backends.MarkLeaving(id, ticket->ResponderStartedBy());
+  CHECK(state.sendGate.Admit(*ticket, allowAll, time) == GateRefusal::eLeaving);
+}
+
+// Guards against the word being read in some responses only, or a value that
+// says the opposite being taken for it.
+TEST_CASE("the field of a leaving engine is read in all responses")
+{
+  PlatformHarness harness(22700);
+  const BackendFormat& format = harness.state->wire.backends;
+  http::fields fields;
+  CHECK_FALSE(format.read(200, fields).leaving);
+  fields.set("Server-Leaving", "0");
+  CHECK_FALSE(format.read(200, fields).leaving);
+  fields.set("Server-Leaving", "1");
+  CHECK(format.read(200, fields).leaving);
+  CHECK(format.read(503, fields).leaving);
+}
+
 } // namespace toucanshed::test
--- a/test/failure/ServingRequestTest.cpp
+++ b/test/failure/ServingRequestTest.cpp
@@ -274,7 +274,7 @@
           ++aCrashes;
           aHarness.StopEngine(id);
           aHarness.state->backends.RecordSuccess(InstanceId{ id });
-          aHarness.state->backends.MarkLeaving(InstanceId{ id });
+          aHarness.state->backends.MarkLeaving(InstanceId{ id }, 0);
           // The crash probe runs while the entry is still there.
           backend->leaving = false;
           co_await Sleep(std::chrono::milliseconds(80));
