--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -158,4 +158,31 @@
   CHECK(format.read(503, fields).leaving);
 }
 
+// Guards against requests to an engine that has turned one away and asked for a
+// rest, which it must turn away too.
+TEST_CASE("an engine gets no request within the rest it asks for")
+{
+  PlatformHarness harness(22710);
+  auto& resting = harness.AddEngine("e1", "plain");
+  auto& other = harness.AddEngine("e2", "plain");
+  resting.rest = "0.6";
+  resting.scriptedResponses = { { standin::ScriptedResponse::Kind::eReject } };
+  std::size_t completed = 0;
+  std::size_t withinRest = 0;
+  constexpr std::size_t kRequests = 20;
+  harness.Run([](PlatformHarness& aHarness,
+                 standin::PlatformEngine& aResting,
+                 std::size_t& aCompleted,
+                 std::size_t& aWithinRest) -> Task<void> {
+    aCompleted = co_await aHarness.SendRequests(kRequests);
+    aWithinRest = aResting.receivedRequests.size() - 1; // at first it is chosen
+    co_await Sleep(Millis(700));
+    aCompleted += co_await aHarness.SendRequests(kRequests);
+  }(harness, resting, completed, withinRest));
+  CHECK(completed == 2 * kRequests);
+  CHECK(withinRest == 0);
+  CHECK(resting.receivedRequests.size() > 1); // after the rest
+  CHECK(other.receivedRequests.size() >= kRequests);
+}
+
 } // namespace toucanshed::test
