Engines that ask for a rest get no request until it ends

Cause: no code read the time in an engine's 503. A request that is turned away counted neither as a failure nor as a response, so nothing about the engine changed, and it was the more attractive the less it ran.

Change: the rest is kept with what an engine says of itself (EngineNotices), by incarnation and whether or not the engine is listed, and SendGate refuses the engine until it ends: at the choice and before the request is written, so for first sends, second sends, resumptions and requests that were placed before. It binds this daemon only, as the engine says it to this daemon. Where the gate refuses all engines of a service, callers are refused at once, with the time until the first of them accepts a request, spread over a quarter of it or 0.6 s. A wait that the gate knows no longer raises the delay while other engines are merely full: they have room within some hundred ms.

In logical time at 7, 69 and 330 daemons with late lists, lapsed entries, pauses, restarts that are not listed yet: no request within a rest.

Ways not taken: a pause of our own length after a 503 (guesses what the engine has said); telling the other daemons (the engine wants nothing from this one; it may well accept theirs); one probe within the rest (it has asked for none).

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -24,12 +24,23 @@
   if (hasIncarnation && aEntry.leaving) {
     this->notices.RecordLeaving(aEntry.id, aEntry.incarnation);
   }
-  const bool noted =
-    hasIncarnation && this->notices.IsLeaving(aEntry.id, aEntry.incarnation);
-  backend.leaving = backend.leaving || aEntry.leaving || noted;
+  backend.leaving = backend.leaving || aEntry.leaving;
+  if (hasIncarnation) {
+    this->ApplyNotices(backend);
+  }
   backend.graceUntil.reset();
 }
 
+void
+BackendTable::ApplyNotices(Backend& aBackend) const
+{
+  const BackendEntry& entry = aBackend.entry;
+  aBackend.leaving =
+    aBackend.leaving || this->notices.IsLeaving(entry.id, entry.incarnation);
+  aBackend.restUntil = std::max(
+    aBackend.restUntil, this->notices.RestUntil(entry.id, entry.incarnation));
+}
+
 void
 BackendTable::Remove(const InstanceId& aId, std::optional<TimePoint> aUsedUntil)
 {
@@ -85,6 +96,27 @@
   return true;
 }
 
+bool
+BackendTable::RecordRest(const InstanceId& aId,
+                         std::int64_t aStartedBy,
+                         TimePoint aUntil,
+                         TimePoint aNow)
+{
+  if (aStartedBy != 0) {
+    this->notices.RecordRest(aId, aStartedBy, aUntil);
+  }
+  Backend* backend = this->Find(aId);
+  const bool binds =
+    backend != nullptr &&
+    (aStartedBy == 0 || backend->entry.incarnation <= aStartedBy);
+  if (!binds) {
+    return false;
+  }
+  const bool begins = backend->restUntil <= aNow && aNow < aUntil;
+  backend->restUntil = std::max(backend->restUntil, aUntil);
+  return begins;
+}
+
 void
 BackendTable::MarkEntryUnusable(const InstanceId& aId)
 {
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -67,6 +67,7 @@
   BackendLoad remoteLoad; // sent by the other daemons, as last reported
   bool leaving = false;   // by the list, its own response or another daemon
   TimePoint leavingSince; // as seen by Expire; 0: not yet
+  TimePoint restUntil;    // it accepts no request from this daemon before
   /** Set when its entry is missing and may have expired in an outage of the
    * store: it is used until then. */
   std::optional<TimePoint> graceUntil;
@@ -147,6 +148,14 @@
    *   EngineNotices; 0: only the one listed now
    * \return whether a listed back end begins to leave thereby */
   bool MarkLeaving(const InstanceId& aId, std::int64_t aStartedBy);
+  /** The back end has asked this daemon in a response to send it no request
+   * before aUntil. Holds also for entries that are listed later.
+   * \param aStartedBy as for MarkLeaving
+   * \return whether a listed back end begins to rest thereby */
+  bool RecordRest(const InstanceId& aId,
+                  std::int64_t aStartedBy,
+                  TimePoint aUntil,
+                  TimePoint aNow);
   /** The back end returned a usable response. */
   void RecordSuccess(const InstanceId& aId);
   /** The back end sent some data. */
@@ -174,6 +183,10 @@
   void SetRemoteLoads(const std::map<InstanceId, BackendLoad>& aLoads);
 
 private:
+  /** Applies what the back end's incarnation has stated before. Precondition:
+   * its incarnation is known. */
+  void ApplyNotices(Backend& aBackend) const;
+
   /** Weight of the latest response in failureRate, which so averages about the
    * last ten. */
   static constexpr double kFailureRateWeight = 0.1;
--- a/src/coord/EngineNotices.cpp
+++ b/src/coord/EngineNotices.cpp
@@ -26,6 +26,16 @@
   notice.leavingStartedBy = std::max(notice.leavingStartedBy, aStartedBy);
 }
 
+void
+EngineNotices::RecordRest(const InstanceId& aId,
+                          std::int64_t aStartedBy,
+                          TimePoint aUntil)
+{
+  Notice& notice = this->FindOrAdd(aId);
+  notice.restStartedBy = std::max(notice.restStartedBy, aStartedBy);
+  notice.restUntil = std::max(notice.restUntil, aUntil);
+}
+
 bool
 EngineNotices::IsLeaving(const InstanceId& aId, std::int64_t aIncarnation) const
 {
@@ -34,4 +44,13 @@
          aIncarnation <= found->second.leavingStartedBy;
 }
 
+TimePoint
+EngineNotices::RestUntil(const InstanceId& aId, std::int64_t aIncarnation) const
+{
+  const auto found = this->notices.find(aId);
+  const bool binds =
+    found != this->notices.end() && aIncarnation <= found->second.restStartedBy;
+  return binds ? found->second.restUntil : TimePoint{};
+}
+
 } // namespace toucanshed
--- a/src/coord/EngineNotices.h
+++ b/src/coord/EngineNotices.h
@@ -1,6 +1,6 @@
 /** \file
  * What engines have stated about themselves in their responses: that they
- * leave.
+ * leave, and how long they accept no requests from this daemon.
  */
 #pragma once
 
@@ -38,14 +38,26 @@
   /** The incarnations that started at aStartedBy or before accept no more
    * requests. */
   void RecordLeaving(const InstanceId& aId, std::int64_t aStartedBy);
-  /** Precondition: aIncarnation is known, not 0. */
+  /** The incarnations that started at aStartedBy or before accept no requests
+   * from this daemon before aUntil. A shorter rest does not replace a longer
+   * one. */
+  void RecordRest(const InstanceId& aId,
+                  std::int64_t aStartedBy,
+                  TimePoint aUntil);
+
+  /** Precondition of both: aIncarnation is known, not 0. */
   [[nodiscard]] bool IsLeaving(const InstanceId& aId,
                                std::int64_t aIncarnation) const;
+  /** End of the rest; time 0 when the incarnation has asked for none. */
+  [[nodiscard]] TimePoint RestUntil(const InstanceId& aId,
+                                    std::int64_t aIncarnation) const;
 
 private:
   struct Notice
   {
     std::int64_t leavingStartedBy = 0; // 0: not leaving
+    std::int64_t restStartedBy = 0;
+    TimePoint restUntil;
   };
 
   Notice& FindOrAdd(const InstanceId& aId);
--- a/src/coord/SendGate.cpp
+++ b/src/coord/SendGate.cpp
@@ -27,6 +27,8 @@
       return "the back end is gone";
     case GateRefusal::eLeaving:
       return "the back end leaves";
+    case GateRefusal::eResting:
+      return "the back end has asked for a rest";
     case GateRefusal::eDomainDrained:
       return "the back end's failure domain is drained";
     case GateRefusal::eNotAllowed:
@@ -69,6 +71,11 @@
   if (!aIsAllowed(aBackend, aNow)) {
     return GateRefusal::eNotAllowed;
   }
+  // Last, so that a rest is reported only for a back end that may be used
+  // after it.
+  if (aNow < aBackend.restUntil) {
+    return GateRefusal::eResting;
+  }
   return std::nullopt;
 }
 
@@ -87,7 +94,10 @@
     warmsUp ? &this->warmups.Refusals(aNow) : nullptr;
   for (Backend* backend : this->backends.ForService(aService)) {
     const InstanceId& id = backend->entry.id;
-    if (this->Forbids(*backend, aIsAllowed, aNow)) {
+    if (const auto refusal = this->Forbids(*backend, aIsAllowed, aNow)) {
+      if (*refusal == GateRefusal::eResting) {
+        RecordWait(choice, *refusal, backend->restUntil - aNow);
+      }
       continue;
     }
     const LimitDecision limit =
--- a/src/coord/SendGate.h
+++ b/src/coord/SendGate.h
@@ -28,6 +28,7 @@
 {
   eGone,          // it is not listed any more, or a later incarnation is
   eLeaving,       // it accepts no more requests
+  eResting,       // it has asked this daemon for a rest
   eDomainDrained, // its failure domain is drained
   eNotAllowed,    // orders exclude it for this request
   eRateLimited,   // its rate limit is used up
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -43,6 +43,7 @@
     this->state.sendGate.Choose(this->request.service, this->isAllowed, now);
   this->wait = choice.wait;
   this->waitReason = choice.waitReason;
+  this->allRefused = choice.backends.empty();
   placementRequest.rateLimited = std::move(choice.limited);
   return this->ServicePlacer().Choose(
     choice.backends, placementRequest, traits, now);
--- a/src/serve/LocalResponses.cpp
+++ b/src/serve/LocalResponses.cpp
@@ -43,12 +43,21 @@
 }
 
 Millis
-RetryDelayFor(ServingState& aState, Millis aTimeLeft)
+RetryDelayFor(ServingState& aState,
+              Millis aTimeLeft,
+              std::optional<Millis> aKnownWait)
 {
+  // The returns after a known wait are spread over a fraction of it.
+  constexpr int kSpreadDivisor = 4;
+  const Millis spread = std::max(
+    kRetryDelayJitter, aKnownWait.value_or(Millis(0)) / kSpreadDivisor);
+  const auto jitter = Millis(static_cast<std::int64_t>(
+    aState.random.NextBelow(static_cast<std::uint64_t>(spread.count()))));
+  if (aKnownWait) {
+    return std::max(*aKnownWait, kMinRetryDelay) + jitter;
+  }
   // A little less than the third of their time that callers wait.
   constexpr int kWaitDivisor = 4;
-  const auto jitter = Millis(static_cast<std::int64_t>(aState.random.NextBelow(
-    static_cast<std::uint64_t>(kRetryDelayJitter.count()))));
   const Millis maxDelay = std::max(Millis(1), aTimeLeft / kWaitDivisor);
   return std::min(kMinRetryDelay + jitter, maxDelay);
 }
--- a/src/serve/LocalResponses.h
+++ b/src/serve/LocalResponses.h
@@ -25,8 +25,13 @@
 
 /** Delay after which a rejected caller should retry. It is random, so that
  * callers that were rejected together do not return together and are rejected
- * again. It stays within a third of aTimeLeft, since callers wait no longer. */
+ * again.
+ * \param aKnownWait until a back end may accept a request; no caller should
+ *   return before. When it is not known, the delay stays within a third of
+ *   aTimeLeft, since callers wait no longer. */
 Millis
-RetryDelayFor(ServingState& aState, Millis aTimeLeft);
+RetryDelayFor(ServingState& aState,
+              Millis aTimeLeft,
+              std::optional<Millis> aKnownWait = std::nullopt);
 
 } // namespace toucanshed
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -373,8 +373,9 @@
 RequestForwarder::SendRejection(std::string aReason)
 {
   const Millis retryAfter =
-    std::max(RetryDelayFor(this->state, this->TimeLeft()),
-             this->wait.value_or(Millis(0)));
+    RetryDelayFor(this->state,
+                  this->TimeLeft(),
+                  this->allRefused ? this->wait : std::nullopt);
   HttpResponse response = MakeLocalResponse(this->state,
                                             this->request.incoming.attempt,
                                             kServiceUnavailable,
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -77,6 +77,7 @@
   /** Applies what a response says about its engine. */
   void ApplyEngineNotices(const BackendResponseHead& aHead);
   void MarkLeaving();
+  void RecordRest(Millis aRest);
   void UpdateRateLimit(const BackendResponseHead& aHead);
   void RecordResponseStart(const Placement& aPlacement);
   /** Records the send as evidence about its back end's version. */
@@ -105,6 +106,7 @@
   SendTicket ticket;                     // of the current send
   std::optional<Millis> wait; // until a back end may accept it; from the gate
   std::optional<GateRefusal> waitReason;
+  bool allRefused = false;              // the gate has refused all back ends
   std::optional<TimePoint> permitUntil; // of the current send, by BootTime
   std::optional<TimePoint> permitDeadline;
   unsigned sends = 0;
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -59,6 +59,24 @@
                          .With("request", this->request.incoming.attempt));
 }
 
+void
+RequestForwarder::RecordRest(Millis aRest)
+{
+  const InstanceId& id = this->ticket.backend;
+  const TimePoint now = ServingState::Now();
+  const bool begins = this->state.backends.RecordRest(
+    id, this->ticket.ResponderStartedBy(), now + aRest, now);
+  if (!begins) {
+    return;
+  }
+  this->state.metrics.Count("toucanshed_backend_rests_total");
+  this->state.log.Emit(Event("backend.resting")
+                         .With("backend", id)
+                         .With("born", this->ticket.incarnation)
+                         .With("for_ms", aRest.count())
+                         .With("request", this->request.incoming.attempt));
+}
+
 void
 RequestForwarder::ApplyEngineNotices(const BackendResponseHead& aHead)
 {
@@ -67,6 +85,13 @@
   if (aHead.leaving) {
     this->MarkLeaving();
   }
+  if (aHead.rest) {
+    this->RecordRest(*aHead.rest);
+  }
+  if (aHead.unreadableRest) {
+    this->state.log.Emit(
+      Event("backend.rest_unreadable").With("backend", this->ticket.backend));
+  }
   this->UpdateRateLimit(aHead);
 }
 
--- a/test/NoticeSimulation.cpp
+++ b/test/NoticeSimulation.cpp
@@ -60,7 +60,7 @@
   for (const Engine& engine : this->engines) {
     daemon.backends->Put(engine.entry);
   }
-  daemon.toldLeaving.clear();
+  daemon.told.clear();
   ++daemon.life;
   daemon.heartbeatAt =
     this->now + this->RandomDelay(HeartbeatInterval(this->daemons.size()));
@@ -103,6 +103,11 @@
   Daemon& daemon = this->daemons[aRequest.daemon];
   const SendChoice choice = daemon.gate->Choose(kService, &AllowAll, this->now);
   if (choice.backends.empty() || aRequest.sends == kMaxSends) {
+    ++this->refused;
+    if (choice.wait) {
+      this->shortestWait =
+        std::min(this->shortestWait.value_or(*choice.wait), *choice.wait);
+    }
     return;
   }
   const std::size_t pick = this->random.NextBelow(choice.backends.size());
@@ -139,9 +144,14 @@
   const EngineLife to{ index, engine.entry.incarnation };
   this->RecordSend(daemon, to);
   this->After(this->RandomDelay(kMaxResponse),
-              [this, aRequest, aTicket, to, leaving = engine.leaving] {
+              [this,
+               aRequest,
+               aTicket,
+               to,
+               leaving = engine.leaving,
+               rest = engine.rest] {
                 this->WhenAwake(aRequest.daemon, aRequest.life, [=, this] {
-                  this->Respond(aRequest, aTicket, to, leaving);
+                  this->Respond(aRequest, aTicket, to, leaving, rest);
                 });
               });
 }
@@ -149,20 +159,34 @@
 void
 NoticeSimulation::RecordSend(Daemon& aDaemon, EngineLife aTo)
 {
-  this->toLeaving += aDaemon.toldLeaving.contains(aTo) ? 1 : 0;
+  const auto told = aDaemon.told.find(aTo);
+  if (told == aDaemon.told.end()) {
+    return;
+  }
+  this->toLeaving += told->second.leaving ? 1 : 0;
+  this->withinRest += this->now < told->second.restUntil ? 1 : 0;
 }
 
 void
 NoticeSimulation::Respond(Request aRequest,
                           SendTicket aTicket,
                           EngineLife aFrom,
-                          bool aLeaving)
+                          bool aLeaving,
+                          std::optional<Millis> aRest)
 {
   Daemon& daemon = this->daemons[aRequest.daemon];
+  Told& told = daemon.told[aFrom];
   if (aLeaving) {
-    daemon.toldLeaving.insert(aFrom);
+    told.leaving = true;
     daemon.backends->MarkLeaving(aTicket.backend, aTicket.ResponderStartedBy());
   }
+  if (aRest) {
+    const TimePoint until = this->now + *aRest;
+    told.restUntil = std::max(told.restUntil, until);
+    daemon.backends->RecordRest(
+      aTicket.backend, aTicket.ResponderStartedBy(), until, this->now);
+    this->Place(aRequest);
+  }
 }
 
 void
@@ -226,6 +250,7 @@
   Engine& engine = this->engines[aEngine];
   engine.entry.incarnation = this->now.ms;
   engine.leaving = false;
+  engine.rest.reset();
 }
 
 void
@@ -268,6 +293,12 @@
   return std::exchange(this->engines[aEngine].arrivals, 0);
 }
 
+std::size_t
+NoticeSimulation::TakeRefused()
+{
+  return std::exchange(this->refused, 0);
+}
+
 std::size_t
 NoticeSimulation::DaemonsThatKnow(std::size_t aEngine)
 {
--- a/test/NoticeSimulation.h
+++ b/test/NoticeSimulation.h
@@ -1,7 +1,7 @@
 /** \file
  * Simulates, in logical time, daemons that send requests to engines which state
- * in their responses that they leave, while the backend list is away or is read
- * late.
+ * in their responses that they leave or want a rest, while the backend list is
+ * away or is read late.
  */
 #pragma once
 
@@ -18,7 +18,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace toucanshed::test {
@@ -28,10 +27,17 @@
 public:
   NoticeSimulation(std::size_t aDaemons, std::size_t aEngines);
 
-  /** Simulates requests, each to a random daemon. */
+  /** Simulates requests, each to a random daemon. One that is turned away is
+   * sent to another engine, up to four times in all. */
   void Run(Millis aDuration, double aRequestsPerS);
   /** The engine states in all responses from now on that it leaves. */
   void Leave(std::size_t aEngine) { this->engines[aEngine].leaving = true; }
+  /** The engine turns all requests away from now on and asks for a rest; no
+   * value: it accepts them again. */
+  void SetRest(std::size_t aEngine, std::optional<Millis> aRest)
+  {
+    this->engines[aEngine].rest = aRest;
+  }
   /** The engine restarts under its id. */
   void RestartEngine(std::size_t aEngine);
   /** All daemons read a list that shows the engines that run as ready, as it
@@ -48,8 +54,18 @@
   /** Requests that a daemon sent to an engine after a response of the same
    * incarnation had told it that the engine leaves. */
   [[nodiscard]] std::size_t SentToLeaving() const { return this->toLeaving; }
+  /** Requests that a daemon sent to an engine within a rest that the same
+   * incarnation had asked it for. */
+  [[nodiscard]] std::size_t SentWithinRest() const { return this->withinRest; }
   /** Requests that an engine received since the last call. */
   std::size_t TakeArrivals(std::size_t aEngine);
+  /** Requests refused since the last call, and the shortest wait that they were
+   * told. */
+  std::size_t TakeRefused();
+  [[nodiscard]] std::optional<Millis> ShortestWait() const
+  {
+    return this->shortestWait;
+  }
   /** Daemons that would send nothing to the engine as it leaves. */
   [[nodiscard]] std::size_t DaemonsThatKnow(std::size_t aEngine);
 
@@ -58,8 +74,15 @@
   {
     BackendEntry entry;
     bool leaving = false;
+    std::optional<Millis> rest;
     std::size_t arrivals = 0;
   };
+  /** What a daemon was told by one incarnation. */
+  struct Told
+  {
+    bool leaving = false;
+    TimePoint restUntil;
+  };
   using EngineLife = std::pair<std::size_t, std::int64_t>;
   struct Daemon
   {
@@ -69,7 +92,7 @@
     std::unique_ptr<DomainDrains> drains;
     std::unique_ptr<BackendTable> backends;
     std::unique_ptr<SendGate> gate;
-    std::set<EngineLife> toldLeaving; // by their own responses
+    std::map<EngineLife, Told> told;
     std::uint64_t life = 0;
     TimePoint frozenUntil;
     TimePoint heartbeatAt;
@@ -90,7 +113,8 @@
   void Respond(Request aRequest,
                SendTicket aTicket,
                EngineLife aFrom,
-               bool aLeaving);
+               bool aLeaving,
+               std::optional<Millis> aRest);
   void SendHeartbeat(std::size_t aDaemon);
   void RecordSend(Daemon& aDaemon, EngineLife aTo);
   /** Runs aStep once the daemon is awake; never if it has restarted. */
@@ -102,6 +126,9 @@
   std::multimap<TimePoint, Step> steps;
   double pendingLoad = 0; // fraction of a request carried over
   std::size_t toLeaving = 0;
+  std::size_t withinRest = 0;
+  std::size_t refused = 0;
+  std::optional<Millis> shortestWait;
   Random random{ 17 };
 };
 
--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -2,6 +2,7 @@
 #include "test/NoticeSimulation.h"
 #include "test/PlatformHarness.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace toucanshed::test {
@@ -185,4 +186,101 @@
   CHECK(other.receivedRequests.size() >= kRequests);
 }
 
+// Guards against a rest being lost with a list that is read late, with a
+// restart that the list does not show yet, or by a request placed before.
+TEST_CASE("a rest holds over late lists, pauses and second sends")
+{
+  for (const std::size_t daemons : { 7, 69, 330 }) {
+    NoticeSimulation simulation(daemons, kEngines);
+    simulation.SetRest(0, Millis(3000));
+    simulation.SetRest(1, Millis(800));
+    RunFor(simulation, daemons, Millis(2000));
+    simulation.DropList(false);
+    simulation.ReadLateList();
+    RunFor(simulation, daemons, Millis(500));
+    simulation.DropList(true);
+    for (std::size_t i = 0; i < daemons; i += 3) {
+      simulation.Freeze(i, Millis(900));
+    }
+    RunFor(simulation, daemons, Millis(300));
+    simulation.RestartEngine(2); // not listed yet
+    simulation.SetRest(2, Millis(3000));
+    RunFor(simulation, daemons, Millis(2000));
+    simulation.ReadLateList();
+    RunFor(simulation, daemons, Millis(2000));
+    CHECK(simulation.SentWithinRest() == 0);
+    simulation.SetRest(0, std::nullopt);
+    simulation.TakeArrivals(0);
+    RunFor(simulation, daemons, Millis(6000));
+    CHECK(simulation.TakeArrivals(0) > 0);
+  }
+}
+
+// Guards against callers that wait, or are told to return too early, while no
+// engine of the service accepts a request from their daemon.
+TEST_CASE("callers are refused at once while all engines rest")
+{
+  for (const std::size_t daemons : { 7, 69, 330 }) {
+    NoticeSimulation simulation(daemons, kEngines);
+    for (std::size_t i = 0; i < kEngines; ++i) {
+      simulation.SetRest(i, Millis(4000));
+    }
+    RunFor(simulation, daemons, Millis(3500));
+    simulation.TakeRefused();
+    RunFor(simulation, daemons, Millis(200));
+    CHECK(simulation.TakeRefused() > 0);
+    CHECK(simulation.SentWithinRest() == 0);
+  }
+  PlatformHarness harness(22720);
+  auto& engine = harness.AddEngine("e1", "plain");
+  engine.rest = "60";
+  engine.scriptedResponses = { { standin::ScriptedResponse::Kind::eReject } };
+  std::vector<double> returns;
+  Millis elapsed{ 0 };
+  harness.Run([](PlatformHarness& aHarness,
+                 std::vector<double>& aReturns,
+                 Millis& aElapsed) -> Task<void> {
+    constexpr int kCallers = 20;
+    const TimePoint began = ServingState::Now();
+    for (int i = 0; i < kCallers; ++i) {
+      CallerMessage message;
+      message.attempt = "a" + std::to_string(i);
+      const CallerResponse response =
+        co_await aHarness.SendRequest(std::move(message));
+      CHECK(response.status == 503);
+      aReturns.push_back(std::stod(response.retryAfter));
+    }
+    aElapsed = ServingState::Now() - began;
+  }(harness, returns, elapsed));
+  CHECK(engine.receivedRequests.size() == 1);
+  CHECK(elapsed < 10 * Millis(1200)); // half of their deadlines
+  const auto [first, last] =
+    std::minmax_element(returns.begin(), returns.end());
+  const double elapsedSeconds = static_cast<double>(elapsed.count()) / 1000;
+  CHECK(*first >= 60 - elapsedSeconds);
+  CHECK(*last - *first > 0.2);
+}
+
+// Guards against an unreadable value, or that of another response, being taken
+// for a rest.
+TEST_CASE("the rest is read from an engine's 503 only")
+{
+  PlatformHarness harness(22730);
+  const BackendFormat& format = harness.state->wire.backends;
+  http::fields fields;
+  CHECK_FALSE(format.read(503, fields).rest.has_value());
+  fields.set("Retry-After", "2.5");
+  CHECK(format.read(503, fields).rest == Millis(2500));
+  for (const unsigned status : { 200U, 421U, 429U, 500U }) {
+    CHECK_FALSE(format.read(status, fields).rest.has_value());
+  }
+  for (const char* invalid : { "", "-1", "nan", "inf", "soon" }) {
+    fields.set("Retry-After", invalid);
+    CHECK_FALSE(format.read(503, fields).rest.has_value());
+    CHECK(format.read(503, fields).unreadableRest);
+  }
+  fields.set("Retry-After", "1e300");
+  CHECK(format.read(503, fields).rest == Millis(3600000));
+}
+
 } // namespace toucanshed::test
