Limits and warm-up bounds hold over the removal of an engine's entry

An entry that lapses and is listed again, or a list read late, gave the same incarnation its whole rate and a second bound.

Change: the entry of a later incarnation ends a limit, its removal does not; limits that no daemon has been told for ten minutes are dropped. A peer's report of a limit holds before the entry is read. What was granted stays counted, and a back end whose entry was removed is cold until it is proven warm.

Shown: both tests fail with the old behaviour put back (no limit; 10 permits of 6), 257 tests pass.

--- a/src/coord/EngineLimits.cpp
+++ b/src/coord/EngineLimits.cpp
@@ -89,10 +89,24 @@
 {
   std::erase_if(this->limits, [aNow](const auto& aPair) {
     const Limit& limit = aPair.second;
-    return limit.latest.ended && aNow - limit.endedAt >= kEndRetention;
+    const bool ended =
+      limit.latest.ended && aNow - limit.endedAt >= kEndRetention;
+    return ended || aNow - limit.latest.asOf >= kMaxReportAge;
   });
 }
 
+void
+EngineLimits::RecordIncarnation(const InstanceId& aEngine,
+                                std::int64_t aIncarnation)
+{
+  const auto found = this->limits.find(aEngine);
+  const bool isEarlier = found != this->limits.end() &&
+                         found->second.latest.incarnation < aIncarnation;
+  if (isEarlier) {
+    this->limits.erase(found);
+  }
+}
+
 bool
 EngineLimits::InEffect(const Limit& aLimit, TimePoint aNow)
 {
--- a/src/coord/EngineLimits.h
+++ b/src/coord/EngineLimits.h
@@ -69,6 +69,9 @@
   /** How long the end of a limit is retained, so that an older update does not
    * restore the limit. */
   static constexpr Millis kEndRetention{ 60000 };
+  /** An engine that has reported its limit to no daemon for this long is gone:
+   * each response reports it, and each engine gets some requests. */
+  static constexpr Millis kMaxReportAge{ 600000 };
   /** A change of a limit is significant if the new rate is below this fraction
    * of the old one, or the old one below this fraction of the new one. */
   static constexpr double kSignificantChange = 0.7;
@@ -92,9 +95,12 @@
    * known state is ignored.
    * \return as for RecordResponse */
   bool ReceiveUpdate(const LimitUpdate& aUpdate, TimePoint aNow);
-  /** The engine has gone or was restarted. */
-  void Forget(const InstanceId& aEngine) { this->limits.erase(aEngine); }
-  /** Drops limits that ended more than kEndRetention ago. */
+  /** An entry of this incarnation was listed: the limit of an earlier one is
+   * dropped. The removal of an entry does not end a limit, as the same
+   * incarnation may be listed again. */
+  void RecordIncarnation(const InstanceId& aEngine, std::int64_t aIncarnation);
+  /** Drops limits that ended more than kEndRetention ago, and those of engines
+   * that must be gone. */
   void Expire(TimePoint aNow);
 
   /** Whether no engine has, or had recently, a limit. */
--- a/src/coord/WarmupLimits.cpp
+++ b/src/coord/WarmupLimits.cpp
@@ -23,7 +23,24 @@
 void
 WarmupLimits::RecordEntry(const InstanceId& aId, TimePoint aWarmUntil)
 {
-  this->backends[aId].warmUntil = aWarmUntil;
+  State& state = this->backends[aId];
+  state.warmUntil = aWarmUntil;
+  state.gone = false;
+}
+
+void
+WarmupLimits::Forget(const InstanceId& aId, TimePoint aNow)
+{
+  std::erase_if(this->backends, [aNow](const auto& aPair) {
+    const State& state = aPair.second;
+    return state.gone && aNow - state.provenFrom >= GrantWindow();
+  });
+  const auto found = this->backends.find(aId);
+  if (found == this->backends.end()) {
+    return;
+  }
+  found->second.gone = true;
+  found->second.provenFrom = aNow; // cold until it is proven warm again
 }
 
 void
--- a/src/coord/WarmupLimits.h
+++ b/src/coord/WarmupLimits.h
@@ -118,8 +118,9 @@
   void Suspect(const InstanceId& aId, TimePoint aProvenFrom);
   /** This process was paused until aNow, so that only later evidence counts. */
   void RecordPause(TimePoint aNow);
-  /** The back end has gone. */
-  void Forget(const InstanceId& aId) { this->backends.erase(aId); }
+  /** The back end has gone. Its entry may be listed again within the time that
+   * its bound counts, so what was granted stays counted that long. */
+  void Forget(const InstanceId& aId, TimePoint aNow);
 
   /** Whether the back end must be taken to be cold. */
   [[nodiscard]] bool IsCold(const Backend& aBackend, TimePoint aNow) const;
@@ -156,6 +157,7 @@
     /** Evidence from before does not count. */
     TimePoint provenFrom;
     std::deque<TimePoint> grants; // within GrantWindow
+    bool gone = false;
   };
   struct ColdSet
   {
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -55,8 +55,7 @@
   aState.backends.Remove(aId, aState.storeOutage.GraceUntil(listed, now));
   const Backend* retained = aState.backends.Find(aId);
   if (retained == nullptr) {
-    aState.engineLimits.Forget(aId);
-    aState.warmupLimits.Forget(aId);
+    aState.warmupLimits.Forget(aId, now);
   } else {
     aState.log.Emit(Event("backend.kept")
                       .With("backend", aId)
@@ -106,13 +105,9 @@
                          !current->graceUntil.has_value();
   const bool isNew = current == nullptr;
   const bool isBack = !isNew && current->graceUntil.has_value();
-  const bool restarted =
-    !isNew && current->entry.incarnation != entry->incarnation;
-  if (restarted) {
-    aState.engineLimits.Forget(id);
-  }
   const bool leaves = entry->leaving && (isNew || !current->entry.leaving);
   aState.backends.Put(*entry);
+  aState.engineLimits.RecordIncarnation(id, entry->incarnation);
   aState.warmupLimits.RecordEntry(id, ServingState::Now() + entry->warmupLeft);
   if (isNew || leaves || isBack) {
     LogBackendChange(aState,
@@ -167,8 +162,7 @@
 DropExpiredBackends(ServingState& aState, TimePoint aNow)
 {
   for (const InstanceId& id : aState.backends.Expire(aNow)) {
-    aState.engineLimits.Forget(id);
-    aState.warmupLimits.Forget(id);
+    aState.warmupLimits.Forget(id, aNow);
     aState.log.Emit(Event("backend.dropped").With("backend", id));
   }
 }
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -238,9 +238,9 @@
 {
   const InstanceId id{ aLimit.backend() };
   const Backend* backend = this->state.backends.Find(id);
-  const bool sameIncarnation =
-    backend != nullptr && backend->entry.incarnation == aLimit.born();
-  if (!sameIncarnation) {
+  const bool isEarlier =
+    backend != nullptr && aLimit.born() < backend->entry.incarnation;
+  if (isEarlier) {
     return;
   }
   const TimePoint now = ServingState::Now();
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -104,14 +104,14 @@
     return;
   }
   const Backend* backend = this->state.backends.Find(id);
-  const bool isCurrent = backend != nullptr &&
-                         backend->entry.incarnation == this->ticket.incarnation;
-  if (!isCurrent) {
+  const bool restarted = backend != nullptr &&
+                         backend->entry.incarnation != this->ticket.incarnation;
+  if (restarted) {
     return; // the responder is gone, and its limit with it
   }
   EngineLimits& limits = this->state.engineLimits;
   const bool changed = limits.RecordResponse(
-    id, backend->entry.incarnation, aHead.limit, ServingState::Now());
+    id, this->ticket.incarnation, aHead.limit, ServingState::Now());
   if (limits.HasUrgentUpdates()) {
     this->state.sendRateLimits();
   }
--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -1,3 +1,4 @@
+#include "serve/BackendList.h"
 #include "test/HeartbeatTiming.h"
 #include "test/NoticeSimulation.h"
 #include "test/PlatformHarness.h"
@@ -283,4 +284,57 @@
   CHECK(format.read(503, fields).rest == Millis(3600000));
 }
 
+// Guards against an engine's limit being lost with an entry that lapses and is
+// listed again.
+TEST_CASE("a rate limit holds over the removal of its engine's entry")
+{
+  PlatformHarness harness(22740);
+  harness.AddEngine("e1", "plain").rateLimit = "1";
+  ServingState& state = *harness.state;
+  const InstanceId id{ "e1" };
+  harness.Run([](PlatformHarness& aHarness) -> Task<void> {
+    co_await aHarness.SendRequests(1);
+  }(harness));
+  REQUIRE(state.engineLimits.RateOf(id, ServingState::Now()));
+  const BackendListRead read{ state.settings.id, ServingState::Now() };
+  const std::string entry = harness.EntryOf("e1");
+  ApplyBackendRecord(
+    state, KeyedRecord{ "e1", std::nullopt, Position{ 5 } }, read);
+  CHECK(state.backends.Find(id) == nullptr);
+  ApplyBackendRecord(state, KeyedRecord{ "e1", entry, Position{ 6 } }, read);
+  REQUIRE(state.backends.Find(id) != nullptr);
+  CHECK(state.engineLimits.RateOf(id, ServingState::Now()).has_value());
+  state.engineLimits.RecordIncarnation(id, 2); // it restarts
+  CHECK_FALSE(state.engineLimits.RateOf(id, ServingState::Now()).has_value());
+}
+
+// Guards against an owner granting a back end's warm-up bound twice in a second
+// because its entry lapsed and came back within it.
+TEST_CASE("a warm-up bound holds over the removal of an entry")
+{
+  const TimePoint start{ 100000 };
+  LimitShares shares(DaemonId{ "daemon-1" }, start);
+  shares.MarkListRead();
+  WarmupLimits limits(shares);
+  const ServiceId service{ "model" };
+  limits.Configure({ { service, WarmupBound{ 6 } } });
+  Backend backend;
+  backend.entry.id = InstanceId{ "e1" };
+  backend.entry.service = service;
+  const TimePoint now = start + Millis(60000);
+  limits.RecordEntry(backend.entry.id, now);
+  limits.RecordRead({}, now);
+  std::size_t granted = 0;
+  for (int i = 0; i < 20; ++i) {
+    granted += limits.Grant(backend, false, now).granted ? 1 : 0;
+  }
+  limits.Forget(backend.entry.id, now + Millis(100));
+  limits.RecordEntry(backend.entry.id, now + Millis(200));
+  for (int i = 0; i < 20; ++i) {
+    granted += limits.Grant(backend, false, now + Millis(300)).granted ? 1 : 0;
+  }
+  CHECK(granted > 0);
+  CHECK(granted <= 6);
+}
+
 } // namespace toucanshed::test
