The product's own interface looks at an engine again before it writes

A request could be written to an engine that had begun to leave, restarted or turned another away meanwhile.

Change: Router::IsUsable is asked for the picked incarnation immediately before a model request or a plain call is written. A refusal counts as not sent, so another engine is picked.

Shown: the test fails with the check left out (the request is sent); 258 tests pass.

--- a/src/coord/Router.cpp
+++ b/src/coord/Router.cpp
@@ -329,14 +329,21 @@
   return TakeSlot(*engine, expected);
 }
 
+bool
+Router::IsUsable(const std::string& aIncarnationKey, TimePoint aNow) const
+{
+  const Engine* engine = this->FindIncarnation(aIncarnationKey);
+  return engine != nullptr && !engine->report.leaving &&
+         engine->downUntil <= aNow;
+}
+
 std::optional<EngineChoice>
 Router::PickIncarnation(const std::string& aIncarnationKey, TimePoint aNow)
 {
-  Engine* engine = this->FindEngine(aIncarnationKey);
-  if (engine == nullptr || engine->report.leaving || engine->downUntil > aNow) {
+  if (!this->IsUsable(aIncarnationKey, aNow)) {
     return std::nullopt;
   }
-  return TakeSlot(*engine, 0);
+  return TakeSlot(*this->FindEngine(aIncarnationKey), 0);
 }
 
 void
--- a/src/coord/Router.h
+++ b/src/coord/Router.h
@@ -104,6 +104,11 @@
   /** Takes a slot; empty when no back end can accept the request now. */
   std::optional<EngineChoice> Pick(const RouteRequest& aRequest,
                                    TimePoint aNow);
+  /** Whether requests may be sent to the incarnation: it is known, and neither
+   * leaving nor marked down. Asked again immediately before a request is
+   * written, as that may have changed since it was picked. */
+  [[nodiscard]] bool IsUsable(const std::string& aIncarnationKey,
+                              TimePoint aNow) const;
   /** Takes a slot on this incarnation; empty when it is unknown, leaving or
    * marked down. */
   std::optional<EngineChoice> PickIncarnation(
--- a/src/daemon/DaemonState.cpp
+++ b/src/daemon/DaemonState.cpp
@@ -76,6 +76,16 @@
   return isNew;
 }
 
+std::function<bool()>
+DaemonState::UsableCheck(std::string aIncarnationKey)
+{
+  return [this, key = std::move(aIncarnationKey)] {
+    const TimePoint now = this->Now();
+    return this->router.WithLock(
+      [&](Router& aRouter) { return aRouter.IsUsable(key, now); });
+  };
+}
+
 bool
 DaemonState::HasFact(const std::string& aFactKey)
 {
--- a/src/daemon/DaemonState.h
+++ b/src/daemon/DaemonState.h
@@ -23,6 +23,7 @@
 #include "edge/WorkerPool.h"
 
 #include <atomic>
+#include <functional>
 #include <set>
 
 namespace toucanshed {
@@ -56,6 +57,9 @@
    * \return whether the fact was not in the set before. */
   bool PublishFact(const FactEntry& aFact);
   bool HasFact(const std::string& aFactKey);
+  /** The check before a request is written to a chosen back end. It must not
+   * outlive this. */
+  std::function<bool()> UsableCheck(std::string aIncarnationKey);
 
   const Settings settings;
   const WriterId writer;
--- a/src/daemon/ModelAttempt.cpp
+++ b/src/daemon/ModelAttempt.cpp
@@ -95,8 +95,13 @@
   call.resumeFrom = this->response.TokenCount();
   call.resumeText = this->response.Text();
   this->start = std::chrono::steady_clock::now();
-  auto opened = co_await OpenEngineStream(
-    this->worker, this->plan.choice.address, std::move(call), EngineTimeouts());
+  PreSendCheck check =
+    this->state.UsableCheck(this->plan.choice.IncarnationKey());
+  auto opened = co_await OpenEngineStream(this->worker,
+                                          this->plan.choice.address,
+                                          std::move(call),
+                                          EngineTimeouts(),
+                                          std::move(check));
   std::unique_ptr<EngineStream> stream;
   if (opened) {
     stream = std::make_unique<EngineStream>(std::move(*opened));
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -82,8 +82,13 @@
   // A call that may not be repeated uses a new connection. If a send fails on a
   // reused connection, it is unknown whether the back end has received the
   // call.
-  auto response = co_await Fetch(
-    aWorker, *endpoint, std::move(request), timeouts, atMostOnce);
+  PreSendCheck check = aState.UsableCheck(aChoice.IncarnationKey());
+  auto response = co_await Fetch(aWorker,
+                                 *endpoint,
+                                 std::move(request),
+                                 timeouts,
+                                 atMostOnce,
+                                 std::move(check));
   if (!response) {
     const bool notSent = response.error().phase == CallPhase::eConnect;
     result.status = notSent ? SendStatus::eNotSent : SendStatus::eUnclear;
--- a/src/edge/EngineClient.cpp
+++ b/src/edge/EngineClient.cpp
@@ -94,7 +94,8 @@
 OpenEngineStream(Worker& aWorker,
                  std::string aAddress,
                  GenerationRequest aGeneration,
-                 CallTimeouts aTimeouts)
+                 CallTimeouts aTimeouts,
+                 PreSendCheck aPreSendCheck)
 {
   const auto endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
@@ -109,8 +110,13 @@
                            { "resume_text", aGeneration.resumeText } };
   HttpRequest request =
     MakeRequest(http::verb::post, "/generate", json::serialize(body));
-  auto opened = co_await HttpExchange::Open(
-    aWorker, *endpoint, std::move(request), aTimeouts);
+  auto opened = co_await HttpExchange::Open(aWorker,
+                                            *endpoint,
+                                            std::move(request),
+                                            aTimeouts,
+                                            false,
+                                            nullptr,
+                                            std::move(aPreSendCheck));
   if (!opened) {
     if (opened.error().code == ErrorCode::eTimeout) {
       aWorker.connectionPool.CloseIdle(*endpoint);
--- a/src/edge/EngineClient.h
+++ b/src/edge/EngineClient.h
@@ -69,12 +69,15 @@
   std::string buffer;
 };
 
-/** Sends a generation request and opens the stream of its response. */
+/** Sends a generation request and opens the stream of its response.
+ * \param aPreSendCheck as for HttpExchange::Open; a refusal is reported as an
+ *   unreachable engine, since nothing was sent */
 Task<tl::expected<EngineStream, EngineError>>
 OpenEngineStream(Worker& aWorker,
                  std::string aAddress,
                  GenerationRequest aGeneration,
-                 CallTimeouts aTimeouts);
+                 CallTimeouts aTimeouts,
+                 PreSendCheck aPreSendCheck = nullptr);
 
 /** Cancels an attempt at an engine. Uses a new connection, as the attempt's own
  * connection may be lost. */
--- a/test/failure/ModelCallTest.cpp
+++ b/test/failure/ModelCallTest.cpp
@@ -1,5 +1,6 @@
 #include "test/DaemonHarness.h"
 
+#include "daemon/ModelAttempt.h"
 #include "daemon/ModelCall.h"
 #include "standin/Tokens.h"
 
@@ -262,4 +263,36 @@
   });
 }
 
+// Guards against a request that was placed, or a stream that moves, being
+// written to an engine that began to leave meanwhile.
+TEST_CASE("an attempt is not sent to an engine that began to leave")
+{
+  DaemonHarness harness(21790);
+  harness.AddEngine("e1");
+  AttemptResult result;
+  harness.Run([](DaemonHarness& aHarness,
+                 AttemptResult& aResult) -> Task<void> {
+    AttemptPlan plan;
+    plan.request = RequestNow(aHarness.state);
+    RouteRequest route;
+    route.service = plan.request.service;
+    route.version = VersionId{ "v1" };
+    const TimePoint now = aHarness.state.Now();
+    const auto choice = aHarness.state.router.WithLock(
+      [&](Router& aRouter) { return aRouter.Pick(route, now); });
+    REQUIRE(choice);
+    plan.choice = *choice;
+    aHarness.state.router.WithLock(
+      [&](Router& aRouter) { aRouter.MarkLeaving(choice->IncarnationKey()); });
+    ResponseAssembler response;
+    TokenSink sink = [](const std::string&) -> Task<bool> { co_return true; };
+    ModelAttempt attempt(
+      aHarness.state, aHarness.FirstWorker(), std::move(plan), response, sink);
+    std::optional<MigrationSource> source;
+    aResult = co_await attempt.Run(source);
+  }(harness, result));
+  CHECK_FALSE(result.sent);
+  CHECK(result.status == AttemptStatus::eUnreachable);
+}
+
 } // namespace toucanshed::test
