--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -27,7 +27,7 @@
 // while the backend list cannot say so.
 TEST_CASE("an engine gets no request after a response that says it leaves")
 {
-  PlatformHarness harness(22680);
+  PlatformHarness harness(22900);
   auto& leaving = harness.AddEngine("e1", "plain");
   auto& other = harness.AddEngine("e2", "plain");
   leaving.leaving = true;
@@ -132,7 +132,7 @@
 // engine that has said meanwhile that it leaves.
 TEST_CASE("a send is refused when its engine has said it leaves")
 {
-  PlatformHarness harness(22690);
+  PlatformHarness harness(22910);
   harness.AddEngine("e1", "plain");
   ServingState& state = *harness.state;
   const InstanceId id{ "e1" };
@@ -149,7 +149,7 @@
 // says the opposite being taken for it.
 TEST_CASE("the field of a leaving engine is read in all responses")
 {
-  PlatformHarness harness(22700);
+  PlatformHarness harness(22920);
   const BackendFormat& format = harness.state->wire.backends;
   http::fields fields;
   CHECK_FALSE(format.read(200, fields).leaving);
@@ -164,7 +164,7 @@
 // rest, which it must turn away too.
 TEST_CASE("an engine gets no request within the rest it asks for")
 {
-  PlatformHarness harness(22710);
+  PlatformHarness harness(22930);
   auto& resting = harness.AddEngine("e1", "plain");
   auto& other = harness.AddEngine("e2", "plain");
   resting.rest = "0.6";
@@ -232,7 +232,7 @@
     CHECK(simulation.TakeRefused() > 0);
     CHECK(simulation.SentWithinRest() == 0);
   }
-  PlatformHarness harness(22720);
+  PlatformHarness harness(22940);
   auto& engine = harness.AddEngine("e1", "plain");
   engine.rest = "60";
   engine.scriptedResponses = { { standin::ScriptedResponse::Kind::eReject } };
@@ -266,7 +266,7 @@
 // for a rest.
 TEST_CASE("the rest is read from an engine's 503 only")
 {
-  PlatformHarness harness(22730);
+  PlatformHarness harness(22950);
   const BackendFormat& format = harness.state->wire.backends;
   http::fields fields;
   CHECK_FALSE(format.read(503, fields).rest.has_value());
@@ -288,7 +288,7 @@
 // listed again.
 TEST_CASE("a rate limit holds over the removal of its engine's entry")
 {
-  PlatformHarness harness(22740);
+  PlatformHarness harness(22960);
   harness.AddEngine("e1", "plain").rateLimit = "1";
   ServingState& state = *harness.state;
   const InstanceId id{ "e1" };
--- a/test/failure/StoreWatcherTest.cpp
+++ b/test/failure/StoreWatcherTest.cpp
@@ -398,7 +398,7 @@
 TEST_CASE("a report of thousands of cold engines fits one packet")
 {
   constexpr std::size_t kPacketBytes = 1400;
-  PlatformHarness harness(22750);
+  PlatformHarness harness(22970);
   ServingState& state = *harness.state;
   const ServiceId service{ "model" };
   state.warmupLimits.Configure({ { service, WarmupBound{ 6 } } });
