Comments and test titles in the field's terms

Cause: two comments said lately; three new test titles and the new simulation spoke of an engine's word and of what a daemon was told. The glossary has recent, notice and report for these.

Measured: the seven renamed and neighbouring cases pass; no logic is changed.

--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -18,8 +18,8 @@
 /** Limit of sends per request, including those that back ends rejected. Further
  * sends would hold the caller longer than a retry by the caller takes. */
 constexpr unsigned kMaxSends = 4;
-/** Interval of a request's tries while every back end has refused a permit
- * lately. */
+/** Interval of a request's tries while each back end's latest answer is that
+ * its permits are used up. */
 constexpr Millis kPermitPollInterval{ 20 };
 /** Timeout of opening a connection. In one region that takes a millisecond; a
  * lost first packet is sent again only after a second. */
--- a/test/NoticeSimulation.cpp
+++ b/test/NoticeSimulation.cpp
@@ -60,7 +60,7 @@
   for (const Engine& engine : this->engines) {
     daemon.backends->Put(engine.entry);
   }
-  daemon.told.clear();
+  daemon.stated.clear();
   ++daemon.life;
   daemon.heartbeatAt =
     this->now + this->RandomDelay(HeartbeatInterval(this->daemons.size()));
@@ -159,12 +159,12 @@
 void
 NoticeSimulation::RecordSend(Daemon& aDaemon, EngineLife aTo)
 {
-  const auto told = aDaemon.told.find(aTo);
-  if (told == aDaemon.told.end()) {
+  const auto stated = aDaemon.stated.find(aTo);
+  if (stated == aDaemon.stated.end()) {
     return;
   }
-  this->toLeaving += told->second.leaving ? 1 : 0;
-  this->withinRest += this->now < told->second.restUntil ? 1 : 0;
+  this->toLeaving += stated->second.leaving ? 1 : 0;
+  this->withinRest += this->now < stated->second.restUntil ? 1 : 0;
 }
 
 void
@@ -175,14 +175,14 @@
                           std::optional<Millis> aRest)
 {
   Daemon& daemon = this->daemons[aRequest.daemon];
-  Told& told = daemon.told[aFrom];
+  Stated& stated = daemon.stated[aFrom];
   if (aLeaving) {
-    told.leaving = true;
+    stated.leaving = true;
     daemon.backends->MarkLeaving(aTicket.backend, aTicket.ResponderStartedBy());
   }
   if (aRest) {
     const TimePoint until = this->now + *aRest;
-    told.restUntil = std::max(told.restUntil, until);
+    stated.restUntil = std::max(stated.restUntil, until);
     daemon.backends->RecordRest(
       aTicket.backend, aTicket.ResponderStartedBy(), until, this->now);
     this->Place(aRequest);
--- a/test/NoticeSimulation.h
+++ b/test/NoticeSimulation.h
@@ -52,15 +52,15 @@
   void Freeze(std::size_t aDaemon, Millis aDuration);
 
   /** Requests that a daemon sent to an engine after a response of the same
-   * incarnation had told it that the engine leaves. */
+   * incarnation had stated that the engine leaves. */
   [[nodiscard]] std::size_t SentToLeaving() const { return this->toLeaving; }
   /** Requests that a daemon sent to an engine within a rest that the same
    * incarnation had asked it for. */
   [[nodiscard]] std::size_t SentWithinRest() const { return this->withinRest; }
   /** Requests that an engine received since the last call. */
   std::size_t TakeArrivals(std::size_t aEngine);
-  /** Requests refused since the last call, and the shortest wait that they were
-   * told. */
+  /** Requests refused since the last call, and the shortest wait that the
+   * gate stated for them. */
   std::size_t TakeRefused();
   [[nodiscard]] std::optional<Millis> ShortestWait() const
   {
@@ -77,8 +77,8 @@
     std::optional<Millis> rest;
     std::size_t arrivals = 0;
   };
-  /** What a daemon was told by one incarnation. */
-  struct Told
+  /** What one incarnation has stated to a daemon. */
+  struct Stated
   {
     bool leaving = false;
     TimePoint restUntil;
@@ -92,7 +92,7 @@
     std::unique_ptr<DomainDrains> drains;
     std::unique_ptr<BackendTable> backends;
     std::unique_ptr<SendGate> gate;
-    std::map<EngineLife, Told> told;
+    std::map<EngineLife, Stated> stated;
     std::uint64_t life = 0;
     TimePoint frozenUntil;
     TimePoint heartbeatAt;
--- a/test/WarmupSimulation.h
+++ b/test/WarmupSimulation.h
@@ -132,7 +132,7 @@
     std::size_t from = 0;
     std::size_t to = 0;
     /** Of a report of the list: the back ends to take to be cold, the engines
-     * whose entries have changed lately, and the sum of all incarnations. */
+     * whose entries have changed recently, and the sum of all incarnations. */
     std::set<InstanceId> cold;
     std::vector<std::size_t> changed;
     std::int64_t digest = 0;
--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -58,7 +58,7 @@
       RunFor(simulation, daemons, Millis(200));
       simulation.ReadLateList();
     }
-    CHECK(simulation.TakeArrivals(0) > 0); // until each daemon was told
+    CHECK(simulation.TakeArrivals(0) > 0); // until each daemon got a notice
     RunFor(simulation, daemons, Millis(3000));
     CHECK(simulation.SentToLeaving() == 0);
     CHECK(simulation.TakeArrivals(0) == 0);
@@ -67,8 +67,8 @@
 }
 
 // Guards against a paused or restarted daemon, or a request that it had placed
-// before, passing by what an engine has said.
-TEST_CASE("pauses and restarts do not pass by an engine's word")
+// before, bypassing what an engine has stated.
+TEST_CASE("pauses and restarts do not bypass a notice")
 {
   for (const std::size_t daemons : { 7, 69, 330 }) {
     NoticeSimulation simulation(daemons, kEngines);
@@ -88,8 +88,8 @@
 }
 
 // Guards against a new incarnation being taken for the one that left, and
-// against the word of one that is not listed yet being lost as it is listed.
-TEST_CASE("an engine's word binds the incarnation that said it")
+// against the notice of one that is not listed yet being lost as it is listed.
+TEST_CASE("a notice binds the incarnation that stated it")
 {
   for (const std::size_t daemons : { 7, 69, 330 }) {
     NoticeSimulation simulation(daemons, kEngines);
@@ -112,7 +112,7 @@
 
 // Guards against a heartbeat about the incarnation before marking a restarted
 // engine, and against one that comes before the entry being lost.
-TEST_CASE("a peer's word about a leaving engine names its incarnation")
+TEST_CASE("a peer's report of a leaving engine names its incarnation")
 {
   BackendTable table;
   BackendEntry entry;
@@ -145,8 +145,8 @@
   CHECK(state.sendGate.Admit(*ticket, allowAll, time) == GateRefusal::eLeaving);
 }
 
-// Guards against the word being read in some responses only, or a value that
-// says the opposite being taken for it.
+// Guards against the field being read in some responses only, or a value that
+// states the opposite being taken for it.
 TEST_CASE("the field of a leaving engine is read in all responses")
 {
   PlatformHarness harness(22920);
