A stream's state is moved only to an engine that may be sent to

Cause: looking for every place that puts work on an engine, the import of a stream's state was found to pass no check: the engine is picked, then the other one exports for up to a second, and the state went to an engine that had begun to leave meanwhile.

Change: the import asks Router::IsUsable immediately before it is written, as the request that follows does. The product's own interface only; the platform's path moves no state.

Measured: the test counts one import of two moves, the refused one is missing; without the check the second is imported too (the parameter did not exist).

--- a/src/daemon/ModelAttempt.cpp
+++ b/src/daemon/ModelAttempt.cpp
@@ -147,11 +147,14 @@
   if (!aSource) {
     co_return;
   }
+  PreSendCheck check =
+    this->state.UsableCheck(this->plan.choice.IncarnationKey());
   const bool imported = co_await TransferKvCache(this->worker,
                                                  aSource->choice.address,
                                                  this->plan.choice.address,
                                                  aSource->attempt,
-                                                 this->response.TokenCount());
+                                                 this->response.TokenCount(),
+                                                 std::move(check));
   this->state.events.Emit(
     Event("stream.moved")
       .With("request", this->plan.request.id)
--- a/src/edge/EngineClient.cpp
+++ b/src/edge/EngineClient.cpp
@@ -154,7 +154,8 @@
                 std::string aFrom,
                 std::string aTo,
                 AttemptId aAttempt,
-                std::uint64_t aTokens)
+                std::uint64_t aTokens,
+                PreSendCheck aImportCheck)
 {
   const auto from = ParseEndpoint(aFrom);
   const auto to = ParseEndpoint(aTo);
@@ -176,8 +177,8 @@
   }
   HttpRequest import =
     MakeRequest(http::verb::post, "/import", kvState->body());
-  const auto imported =
-    co_await Fetch(aWorker, *to, std::move(import), timeouts, true);
+  const auto imported = co_await Fetch(
+    aWorker, *to, std::move(import), timeouts, true, std::move(aImportCheck));
   co_return imported && imported->result_int() == kOk;
 }
 
--- a/src/edge/EngineClient.h
+++ b/src/edge/EngineClient.h
@@ -86,6 +86,8 @@
 
 /** Transfers an attempt's KV cache from one engine to another, and cancels the
  * attempt at the first.
+ * \param aImportCheck as for HttpExchange::Open, for the second engine, which
+ *   may begin to leave while the first one exports
  * \return whether the second engine has imported it. If not, that engine
  *   recomputes the prompt and the tokens generated so far. */
 Task<bool>
@@ -93,7 +95,8 @@
                 std::string aFrom,
                 std::string aTo,
                 AttemptId aAttempt,
-                std::uint64_t aTokens);
+                std::uint64_t aTokens,
+                PreSendCheck aImportCheck);
 
 /** Fetches the load report of the back end at aBase.address. Returns aBase with
  * the reported fields replaced. A plain service reports few fields; those that
--- a/test/failure/EngineStreamTest.cpp
+++ b/test/failure/EngineStreamTest.cpp
@@ -54,4 +54,44 @@
   CHECK(error == EngineErrorKind::eDisconnected);
 }
 
+// Guards against a stream's state being moved to an engine that began to leave
+// while the other one exported it.
+TEST_CASE("a stream's state is not moved to an engine that leaves")
+{
+  WorkerPool pool(1);
+  std::size_t exports = 0;
+  std::size_t imports = 0;
+  HttpServer server(pool,
+                    HttpLimits{},
+                    [&](Worker&,
+                        const HttpRequest& aRequest,
+                        HttpResponder& aResponder) -> Task<void> {
+                      exports += aRequest.target() == "/export" ? 1 : 0;
+                      imports += aRequest.target() == "/import" ? 1 : 0;
+                      co_await aResponder.Send(MakeResponse(200, "{}"));
+                    });
+  const Endpoint engine(boost::asio::ip::make_address("127.77.0.1"), 21078);
+  REQUIRE(server.Listen(engine));
+  for (const bool usable : { true, false }) {
+    bool imported = false;
+    RunOn(pool,
+          [](WorkerPool& aPool,
+             std::string aAddress,
+             bool aUsable,
+             bool& aImported) -> Task<void> {
+            PreSendCheck check = [aUsable] { return aUsable; };
+            AttemptId attempt{ "a1" };
+            aImported = co_await TransferKvCache(aPool.First(),
+                                                 aAddress,
+                                                 aAddress,
+                                                 std::move(attempt),
+                                                 5,
+                                                 std::move(check));
+          }(pool, ToText(engine), usable, imported));
+    CHECK(imported == usable);
+  }
+  CHECK(exports == 2);
+  CHECK(imports == 1);
+}
+
 } // namespace toucanshed::test
