Restarts and unknown daemons do not renew the retry allowance

Cause: a daemon kept what it had retried in its memory, so each restart renewed its part of the fixed allowance; and it divided that part by the daemons that it knew, so one that started while it knew no others took all of it.

Change: none of the fixed part is used before a daemon has run for a whole window, and the divisor never falls. The share of its own requests is used from the start.

The test harness stands for a daemon that has run for long; the tests that start one count as they did.

Ways not taken: telling the others what was retried, which is lost for what was used since the last heartbeat; a record in the store, a call a daemon and second.

--- a/src/coord/WindowedRetryBudget.cpp
+++ b/src/coord/WindowedRetryBudget.cpp
@@ -43,6 +43,15 @@
   return RequestRate{ requests * kMillisPerSecond / window };
 }
 
+double
+WindowedRetryBudget::SlackShare(TimePoint aNow) const
+{
+  if (aNow - this->startedAt <= this->allowance.window) {
+    return 0;
+  }
+  return this->allowance.slack / static_cast<double>(this->maxDaemons);
+}
+
 bool
 WindowedRetryBudget::TryTakeRetry(const ServiceId& aService,
                                   std::size_t aDaemons,
@@ -55,10 +64,9 @@
     requests += second.requests;
     retries += second.retries;
   }
-  const double daemons =
-    static_cast<double>(std::max<std::size_t>(1, aDaemons));
+  this->maxDaemons = std::max(this->maxDaemons, aDaemons);
   const double allowed =
-    this->allowance.ratio * requests + this->allowance.slack / daemons;
+    this->allowance.ratio * requests + this->SlackShare(aNow);
   if (retries + 1 > allowed * kUsedShare) {
     return false;
   }
--- a/src/coord/WindowedRetryBudget.h
+++ b/src/coord/WindowedRetryBudget.h
@@ -26,6 +26,12 @@
  * share one allowance without communication: each applies the ratio to its own
  * requests, takes an equal share of the slack, and leaves a margin.
  *
+ * A daemon uses no slack until it has run for a window. Its earlier process may
+ * have used the share just before a restart, and until all daemons have heard
+ * of each other one that knows too few would take too large a share. The number
+ * of daemons never falls: daemons that were lost from sight may be running
+ * beyond a cut.
+ *
  * Thread safety: none; the owner serialises.
  */
 class WindowedRetryBudget
@@ -35,8 +41,10 @@
    * aligned, and the allowance applies to a sliding window. */
   static constexpr double kUsedShare = 0.8;
 
-  explicit WindowedRetryBudget(RetryAllowance aAllowance)
+  /** \param aStartedAt start of this process */
+  WindowedRetryBudget(RetryAllowance aAllowance, TimePoint aStartedAt)
     : allowance(aAllowance)
+    , startedAt(aStartedAt)
   {
   }
 
@@ -60,7 +68,12 @@
 
   SecondCounts& CurrentSecond(const ServiceId& aService, TimePoint aNow);
 
+  /** The part of the slack that this daemon may use. */
+  [[nodiscard]] double SlackShare(TimePoint aNow) const;
+
   RetryAllowance allowance;
+  TimePoint startedAt;
+  std::size_t maxDaemons = 1; // most that were known at once
   std::map<ServiceId, std::deque<SecondCounts>> services;
 };
 
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -20,7 +20,8 @@
   , log(settings.id.value, [] { return TimePoint{ WallMs() }; })
   , retries(RetryAllowance{ settings.bounds.retryRatio,
                             settings.bounds.retrySlack,
-                            settings.bounds.retryWindow })
+                            settings.bounds.retryWindow },
+            startedAt)
   , quotas(QuotaTolerance{ settings.bounds.quotaWindow,
                            settings.bounds.quotaOvershoot,
                            settings.bounds.quotaSlack })
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -54,8 +54,15 @@
   settings.reportsUsage = true;
   settings.bounds.lease = Millis(300);
   settings.bounds.usageWindow = Millis(1000);
-  return std::make_unique<ServingState>(
+  auto state = std::make_unique<ServingState>(
     std::move(settings), platform::MakeWireFormats(), 1);
+  // A daemon that has run for longer than the window of the retry allowance.
+  const ServingBounds& bounds = state->settings.bounds;
+  const TimePoint startedAt = ServingState::Now() - 2 * bounds.retryWindow;
+  state->retries = WindowedRetryBudget(
+    RetryAllowance{ bounds.retryRatio, bounds.retrySlack, bounds.retryWindow },
+    startedAt);
+  return state;
 }
 
 std::string
--- a/test/correctness/RetryBudgetTest.cpp
+++ b/test/correctness/RetryBudgetTest.cpp
@@ -17,9 +17,10 @@
 {
 public:
   explicit RetrySimulation(std::size_t aDaemons)
+    : known(aDaemons)
   {
     for (std::size_t i = 0; i < aDaemons; ++i) {
-      this->budgets.push_back(NewBudget());
+      this->budgets.push_back(this->NewBudget());
     }
   }
 
@@ -41,16 +42,22 @@
   void RestartAll()
   {
     for (auto& budget : this->budgets) {
-      budget = NewBudget();
+      budget = this->NewBudget();
     }
   }
+  void Restart(std::size_t aDaemon)
+  {
+    this->budgets[aDaemon] = this->NewBudget();
+  }
+  /** Sets how many daemons each one knows, itself included. */
+  void SetKnown(std::size_t aDaemons) { this->known = aDaemons; }
   /** Most retries in a window, as a fraction of the allowed ones. */
   [[nodiscard]] double MaxUsage() const { return this->maxUsage; }
 
 private:
-  static std::unique_ptr<WindowedRetryBudget> NewBudget()
+  [[nodiscard]] std::unique_ptr<WindowedRetryBudget> NewBudget() const
   {
-    return std::make_unique<WindowedRetryBudget>(kAllowance);
+    return std::make_unique<WindowedRetryBudget>(kAllowance, this->now);
   }
 
   static void Expire(std::deque<TimePoint>& aTimes, TimePoint aFrom)
@@ -64,7 +71,7 @@
   {
     aBudget.RecordRequest(kService, this->now);
     this->requests.push_back(this->now);
-    if (!aBudget.TryTakeRetry(kService, this->budgets.size(), this->now)) {
+    if (!aBudget.TryTakeRetry(kService, this->known, this->now)) {
       return;
     }
     this->retries.push_back(this->now);
@@ -77,11 +84,12 @@
       this->maxUsage, static_cast<double>(this->retries.size()) / allowed);
   }
 
+  TimePoint now{ 100000 };
   std::vector<std::unique_ptr<WindowedRetryBudget>> budgets;
   std::deque<TimePoint> requests;
   std::deque<TimePoint> retries;
-  TimePoint now{ 100000 };
   std::size_t next = 0;
+  std::size_t known;
   double pending = 0; // fraction of a request carried over
   double maxUsage = 0;
 };
@@ -117,4 +125,56 @@
   }
 }
 
+// Guards against restarts in series that each renew a part of the allowance.
+TEST_CASE("restarts in series do not renew the retry allowance")
+{
+  for (const std::size_t daemons : { 7U, 69U, 330U }) {
+    for (const double perDaemon : { 0.3, 5.0, 60.0 }) {
+      RetrySimulation simulation(daemons);
+      simulation.Run(Millis(30000), perDaemon);
+      for (int restart = 0; restart < 4; ++restart) {
+        simulation.RestartAll();
+        simulation.Run(Millis(2000), perDaemon);
+      }
+      for (std::size_t i = 0; i < daemons; ++i) {
+        simulation.Restart(i);
+        simulation.Run(Millis(20000) / static_cast<int>(daemons), perDaemon);
+      }
+      simulation.Run(Millis(20000), perDaemon);
+      INFO(daemons << " daemons, " << perDaemon << " a second each");
+      CHECK(simulation.MaxUsage() <= 1);
+    }
+  }
+}
+
+// Guards against daemons that start without knowing the others and then each
+// use the whole slack.
+TEST_CASE("daemons that know no others yet keep the retry allowance")
+{
+  for (const std::size_t daemons : { 7U, 69U, 330U }) {
+    RetrySimulation simulation(daemons);
+    simulation.Run(Millis(30000), 5);
+    simulation.RestartAll();
+    simulation.SetKnown(1);
+    simulation.Run(Millis(8000), 5);
+    simulation.SetKnown(daemons);
+    simulation.Run(Millis(20000), 5);
+    INFO(daemons << " daemons");
+    CHECK(simulation.MaxUsage() <= 1);
+  }
+}
+
+// Guards against two halves beyond a cut that each use the slack of both.
+TEST_CASE("halves that forget each other keep the retry allowance")
+{
+  for (const std::size_t daemons : { 7U, 69U, 330U }) {
+    RetrySimulation simulation(daemons);
+    simulation.Run(Millis(30000), 0.3);
+    simulation.SetKnown((daemons + 1) / 2);
+    simulation.Run(Millis(30000), 0.3);
+    INFO(daemons << " daemons");
+    CHECK(simulation.MaxUsage() <= 1);
+  }
+}
+
 } // namespace toucanshed::test
