How rollouts ended is state that every daemon tells and waits to hear

Cause: a verdict was told as an event, a bounded number of times, and kept only with its order. A daemon that started after that, while no status was written, took the order to be active for good. One that read the statuses while the store rejected it applied no verdict at all. And under the next order a version that an earlier one had rolled back counted as the old version.

Change: heartbeats carry how rollouts ended; the daemon that finds a version bad tells all at once; a new version gets nothing from a daemon that would not hear of a verdict (it hears no majority, or none of those that gather the evidence, or has not read the statuses). Statuses are read beside the evaluation. Evidence about a target is sent within 0.2 s. Rolled-back versions stay so.

An ended rollout stays as it first ended, as before.

Ways not taken: reading the statuses again and again (330 calls each time, and none may be written); telling the fact for longer; the counts in the store.

--- a/src/coord/LimitShares.cpp
+++ b/src/coord/LimitShares.cpp
@@ -51,7 +51,13 @@
 LimitShares::CanUseShares(TimePoint aNow) const
 {
   const bool knownToAll = aNow - this->started >= this->peerTimeout;
-  if (!this->listRead || !knownToAll) {
+  return knownToAll && this->HearsMajority(aNow);
+}
+
+bool
+LimitShares::HearsMajority(TimePoint aNow) const
+{
+  if (!this->listRead) {
     return false;
   }
   std::size_t reachable = 1;
--- a/src/coord/LimitShares.h
+++ b/src/coord/LimitShares.h
@@ -49,6 +49,9 @@
   /** Sets how long after its last heartbeat a daemon counts as unreachable. */
   void SetPeerTimeout(Millis aTimeout) { this->peerTimeout = aTimeout; }
 
+  /** Whether this daemon receives heartbeats of more than half of all known
+   * daemons, itself included. */
+  [[nodiscard]] bool HearsMajority(TimePoint aNow) const;
   /** Whether this daemon may use its shares. */
   [[nodiscard]] bool CanUseShares(TimePoint aNow) const;
   [[nodiscard]] const DaemonId& Self() const { return this->self; }
--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -189,9 +189,7 @@
   std::vector<std::string> addresses;
   std::size_t candidateCount = 0;
   for (const auto& [id, peer] : this->peers) {
-    const bool isLive =
-      peer.hasHeartbeat && aNow - peer.heartbeatAt <= this->PeerTimeout();
-    if (!isLive) {
+    if (!peer.IsLive(aNow, this->PeerTimeout())) {
       continue;
     }
     const bool isCandidate =
@@ -204,6 +202,24 @@
   return addresses;
 }
 
+bool
+PeerTable::HearsDutyCandidate(TimePoint aNow) const
+{
+  std::size_t candidates = 0;
+  for (const auto& [id, peer] : this->peers) {
+    if (!peer.IsLive(aNow, this->PeerTimeout())) {
+      continue;
+    }
+    if (peer.IsLive(aNow, this->CandidateSilence())) {
+      return true;
+    }
+    if (++candidates == kDutyCandidates) {
+      return false;
+    }
+  }
+  return this->peers.empty();
+}
+
 std::vector<DaemonId>
 PeerTable::PeersWithoutHeartbeat() const
 {
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -78,6 +78,10 @@
    * larger part of the peer messages. */
   [[nodiscard]] std::vector<std::string> DutyCandidateAddresses(
     TimePoint aNow) const;
+  /** Whether one of those daemons was heard of just now, or there are no
+   * others. They gather the evidence about rollouts, and a daemon that is cut
+   * off from all of them must know it long before they time out. */
+  [[nodiscard]] bool HearsDutyCandidate(TimePoint aNow) const;
   /** Daemons that are listed but have sent no heartbeat yet. */
   [[nodiscard]] std::vector<DaemonId> PeersWithoutHeartbeat() const;
   /** Known daemons whose ids precede this one's, live or not. */
@@ -97,6 +101,13 @@
     Position dutyLogEnd; // end of the duty log, as known to the holder
   };
   [[nodiscard]] std::optional<DutyHolderState> DutyHolder() const;
+  /** Longest usual time without a heartbeat of any of the duty candidates,
+   * which do not send theirs at the same time. */
+  [[nodiscard]] Millis CandidateSilence() const
+  {
+    constexpr int kTimeoutParts = 4;
+    return std::max(kPeerTimeout, this->PeerTimeout() / kTimeoutParts);
+  }
   /** A daemon without a heartbeat for this long is considered failed. */
   [[nodiscard]] Millis PeerTimeout() const
   {
@@ -137,6 +148,11 @@
   };
   struct Peer
   {
+    [[nodiscard]] bool IsLive(TimePoint aNow, Millis aTimeout) const
+    {
+      return this->hasHeartbeat && aNow - this->heartbeatAt <= aTimeout;
+    }
+
     std::string address;
     serving::DaemonHeartbeat heartbeat;
     std::map<InstanceId, BackendLoad> sentSinceHeartbeat;
--- a/src/coord/Rollouts.cpp
+++ b/src/coord/Rollouts.cpp
@@ -27,6 +27,12 @@
     rollout.order = aOrder;
     rollout.started = aNow;
     rollout.readySince = aNow;
+    const auto known = this->ended.find({ aOrder.service, aOrder.target });
+    const bool hasEnded =
+      known != this->ended.end() && known->second.order == aOrder.position;
+    if (hasEnded) {
+      rollout.phase = known->second.phase;
+    }
     this->rollouts[aOrder.service] = std::move(rollout);
   }
 }
@@ -48,16 +54,60 @@
   }
 }
 
+bool
+Rollouts::RecordEnd(const EndedRollout& aEnded)
+{
+  if (aEnded.phase == RolloutPhase::eActive) {
+    return false;
+  }
+  const auto [known, isNew] =
+    this->ended.try_emplace({ aEnded.service, aEnded.target }, aEnded);
+  const bool isLater = known->second.order < aEnded.order;
+  if (!isNew && !isLater) {
+    return false;
+  }
+  known->second = aEnded;
+  const auto found = this->rollouts.find(aEnded.service);
+  const bool isCurrent = found != this->rollouts.end() &&
+                         found->second.order.position == aEnded.order;
+  if (isCurrent) {
+    found->second.phase = aEnded.phase;
+  }
+  this->ForgetOldest();
+  return true;
+}
+
 void
-Rollouts::End(const ServiceId& aService, Position aOrder, RolloutPhase aPhase)
+Rollouts::ForgetOldest()
 {
-  const auto found = this->rollouts.find(aService);
-  const bool matches = found != this->rollouts.end() &&
-                       found->second.order.position == aOrder &&
-                       found->second.phase == RolloutPhase::eActive;
-  if (matches) {
-    found->second.phase = aPhase;
+  while (this->ended.size() > kMaxEnded) {
+    this->ended.erase(std::min_element(
+      this->ended.begin(), this->ended.end(), [](auto& aLeft, auto& aRight) {
+        return aLeft.second.order < aRight.second.order;
+      }));
+  }
+}
+
+std::vector<EndedRollout>
+Rollouts::Ended() const
+{
+  std::vector<EndedRollout> all;
+  all.reserve(this->ended.size());
+  for (const auto& [version, end] : this->ended) {
+    all.push_back(end);
   }
+  return all;
+}
+
+bool
+Rollouts::IsOldVersion(const Rollout& aRollout, const VersionId& aVersion) const
+{
+  if (aVersion == aRollout.order.target) {
+    return false;
+  }
+  const auto known = this->ended.find({ aRollout.order.service, aVersion });
+  return known == this->ended.end() ||
+         known->second.phase != RolloutPhase::eRolledBack;
 }
 
 const Rollout*
@@ -176,21 +226,29 @@
     return true;
   }
   const bool isNew = aVersion == rollout->order.target;
+  const bool isOld = this->IsOldVersion(*rollout, aVersion);
   switch (rollout->phase) {
     case RolloutPhase::eCompleted:
       return isNew;
     case RolloutPhase::eRolledBack:
-      return !isNew;
+      return isOld;
     case RolloutPhase::eActive:
       break;
   }
+  return this->PrefersTarget(*rollout, aAttempt, aNow) ? isNew : isOld;
+}
+
+bool
+Rollouts::PrefersTarget(const Rollout& aRollout,
+                        const AttemptId& aAttempt,
+                        TimePoint aNow) const
+{
   constexpr double kBuckets = 10000;
   const auto bucket = static_cast<double>(
-    CombineHashes(Hash64(aAttempt.value), rollout->order.position.value) %
+    CombineHashes(Hash64(aAttempt.value), aRollout.order.position.value) %
     10000);
-  const bool toNew =
-    bucket < this->NewVersionShareAt(*rollout, aNow) * kBuckets;
-  return toNew == isNew;
+  return bucket < this->NewVersionShareAt(aRollout, aNow) * kBuckets &&
+         this->isInformed(aNow);
 }
 
 std::optional<RolloutPhase>
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -7,8 +7,10 @@
 #include "RolloutOrder.h"
 #include "VersionComparison.h"
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace toucanshed {
@@ -29,6 +31,16 @@
   }
 };
 
+/** How the rollout of an order ended; states that a version was rolled back for
+ * as long as its engines may be there. */
+struct EndedRollout
+{
+  ServiceId service;
+  VersionId target;
+  Position order;
+  RolloutPhase phase = RolloutPhase::eRolledBack;
+};
+
 /** An order and its state. */
 struct Rollout
 {
@@ -74,6 +86,11 @@
  * completes as soon as the new version can serve all traffic, and after
  * kMaxWait in any case: an operator's order may be late, but is never dropped.
  *
+ * Any daemon may find a version bad, so one that does not hear what the others
+ * know sends the new version nothing. How rollouts ended is remembered beyond
+ * the next order: the engines of a version that was rolled back stay for some
+ * seconds, and are not part of the old version.
+ *
  * Thread safety: none; the owner serialises.
  */
 class Rollouts
@@ -97,17 +114,27 @@
   /** Maximum time that a rollout waits for engines after its deadline. */
   static constexpr Millis kMaxWait{ 30000 };
 
-  explicit Rollouts(ExposureLimits aLimits)
+  /** Most ended rollouts that are remembered. */
+  static constexpr std::size_t kMaxEnded = 32;
+
+  /** Whether this daemon hears what the others know of rollouts. */
+  using IsInformed = std::function<bool(TimePoint aNow)>;
+
+  explicit Rollouts(
+    ExposureLimits aLimits,
+    IsInformed aIsInformed = [](TimePoint) { return true; })
     : limits(aLimits)
+    , isInformed(std::move(aIsInformed))
   {
   }
 
   /** Starts the rollout of an order, in place of one from an earlier record;
-   * ignores an order that is not later than the known one. */
+   * ignores an order that is not later than the known one. The order may be
+   * known to have ended. */
   void Start(const RolloutOrder& aOrder, TimePoint aNow);
-  /** Ends the rollout of the order at a position; no effect if it has ended or
-   * has been superseded. */
-  void End(const ServiceId& aService, Position aOrder, RolloutPhase aPhase);
+  /** Records how a rollout ended, here or elsewhere; the first end of an order
+   * counts. \return whether it is news. */
+  bool RecordEnd(const EndedRollout& aEnded);
 
   /** Updates whether the engines could serve the traffic; no effect on a
    * service without a rollout. */
@@ -120,6 +147,12 @@
   [[nodiscard]] std::vector<Rollout> Active() const;
   /** Returns the latest rollout of each service, ended or not. */
   [[nodiscard]] std::vector<Rollout> All() const;
+  /** Returns how rollouts ended, at most kMaxEnded, for the other daemons. */
+  [[nodiscard]] std::vector<EndedRollout> Ended() const;
+  /** Whether a version is the old one of a rollout: not its target, and not
+   * rolled back by an earlier order. */
+  [[nodiscard]] bool IsOldVersion(const Rollout& aRollout,
+                                  const VersionId& aVersion) const;
 
   /** Whether an attempt may be sent to a version. All daemons select the same
    * version for an attempt. A service without a rollout may use any version. */
@@ -157,8 +190,18 @@
    * after the deadline. */
   [[nodiscard]] TimePoint DecisionTime(const Rollout& aRollout) const;
 
+  /** Whether an active rollout lets an attempt use its target rather than the
+   * old version. */
+  [[nodiscard]] bool PrefersTarget(const Rollout& aRollout,
+                                   const AttemptId& aAttempt,
+                                   TimePoint aNow) const;
+  void ForgetOldest();
+
   ExposureLimits limits;
+  IsInformed isInformed;
   std::map<ServiceId, Rollout> rollouts;
+  /** The latest end of each version's rollouts. */
+  std::map<std::pair<ServiceId, VersionId>, EndedRollout> ended;
 };
 
 } // namespace toucanshed
--- a/src/serve/DatagramCounts.cpp
+++ b/src/serve/DatagramCounts.cpp
@@ -32,6 +32,8 @@
       return "permit_reply";
     case serving::Datagram::kReach:
       return "reach";
+    case serving::Datagram::kEndedRollouts:
+      return "ended_rollouts";
     default:
       return "other";
   }
--- a/src/serve/OperatorRecords.cpp
+++ b/src/serve/OperatorRecords.cpp
@@ -129,6 +129,16 @@
                     .With("teams", aState.catalog->teams.size()));
 }
 
+std::set<Position>
+ActiveOrders(const ServingState& aState)
+{
+  std::set<Position> orders;
+  for (const Rollout& rollout : aState.rollouts.Active()) {
+    orders.insert(rollout.order.position);
+  }
+  return orders;
+}
+
 } // namespace
 
 void
@@ -171,12 +181,19 @@
 ReplaceOperatorRecords(ServingState& aState, const TopicPage& aPage)
 {
   std::set<ZoneId> drained;
+  const std::set<Position> activeBefore = ActiveOrders(aState);
   for (const KeyedRecord& record : aPage.records) {
     ApplyOperatorRecord(aState, record);
     if (const auto zone = aState.wire.records.drainedZone(record.key)) {
       drained.insert(*zone);
     }
   }
+  const std::set<Position> active = ActiveOrders(aState);
+  const bool hasNew = !std::includes(
+    activeBefore.begin(), activeBefore.end(), active.begin(), active.end());
+  if (hasNew) {
+    ++aState.orderSnapshots;
+  }
   const TimePoint now = ServingState::Now();
   for (const ZoneId& zone :
        aState.domainDrains.EndUnlisted(drained, aPage.next, now)) {
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -37,6 +37,8 @@
  * a random time. Many daemons get such a response at once, and the first report
  * saves the others theirs. */
 constexpr std::uint64_t kLimitSendJitterMs = 100;
+/** Evidence about a target is sent within this time, at a random time. */
+constexpr std::uint64_t kEvidenceJitterMs = 200;
 /** The daemons' estimates of cluster time differ by less than this. */
 constexpr Millis kMaxClockSkew{ 50 };
 
@@ -89,6 +91,17 @@
       this->state.pool.First().Spawn(this->SendRateLimits());
     }
   };
+  this->state.sendEndedRollouts = [this] {
+    serving::Datagram datagram;
+    *datagram.mutable_ended_rollouts() = MakeEndedRolloutReport(this->state);
+    this->SendDatagram(datagram, this->state.peers.Addresses());
+  };
+  this->state.sendEvidence = [this] {
+    if (!this->evidenceSendPending) {
+      this->evidenceSendPending = true;
+      this->state.pool.First().Spawn(this->SendTargetEvidence());
+    }
+  };
   this->state.sendReach = [this] {
     serving::Datagram datagram;
     serving::ReachReport& report = *datagram.mutable_reach();
@@ -179,6 +192,7 @@
   if (aDatagram.has_reach()) {
     this->state.peers.ReceiveReach(aDatagram.reach());
   }
+  this->HandleEndedRollouts(aDatagram.ended_rollouts().rollouts());
   if (aDatagram.has_store()) {
     ApplyStoreReadReport(this->state, aDatagram.store());
   }
@@ -239,6 +253,7 @@
                              .With("from", aHeartbeat.id()));
     }
   }
+  this->HandleEndedRollouts(aHeartbeat.ended_rollouts());
   for (const serving::FactState& fact : aHeartbeat.facts()) {
     FactEntry entry;
     entry.key = fact.key();
@@ -247,6 +262,47 @@
   }
 }
 
+void
+PeerMessenger::HandleEndedRollouts(
+  const google::protobuf::RepeatedPtrField<serving::EndedRollout>& aEnded)
+{
+  for (const serving::EndedRollout& entry : aEnded) {
+    EndedRollout ended;
+    ended.service = ServiceId{ entry.service() };
+    ended.target = VersionId{ entry.target() };
+    ended.order = Position{ entry.order() };
+    ended.phase =
+      entry.completed() ? RolloutPhase::eCompleted : RolloutPhase::eRolledBack;
+    if (this->state.rollouts.RecordEnd(ended)) {
+      this->state.log.Emit(Event("move.end_heard")
+                             .With("service", ended.service)
+                             .With("target", ended.target)
+                             .With("position", ended.order.value)
+                             .With("completed", entry.completed() ? 1 : 0));
+    }
+  }
+}
+
+Task<void>
+PeerMessenger::SendTargetEvidence()
+{
+  co_await Sleep(Millis(this->state.random.NextBelow(kEvidenceJitterMs)));
+  this->evidenceSendPending = false;
+  serving::Datagram datagram;
+  for (const Rollout& rollout : this->state.rollouts.Active()) {
+    for (peer::Evidence& evidence :
+         this->state.evidence.LocalEvidence(rollout.order.position)) {
+      if (evidence.version() == rollout.order.target.value) {
+        *datagram.mutable_evidence()->add_evidence() = std::move(evidence);
+      }
+    }
+  }
+  if (datagram.has_evidence()) {
+    this->SendDatagram(
+      datagram, this->state.peers.DutyCandidateAddresses(ServingState::Now()));
+  }
+}
+
 void
 PeerMessenger::HandleRateLimit(const serving::RateLimitState& aLimit,
                                const std::string& aFrom)
--- a/src/serve/PeerMessenger.h
+++ b/src/serve/PeerMessenger.h
@@ -104,6 +104,12 @@
   void SendToDutyCandidates(TimePoint aNow);
   /** Updates all state that is derived from the peers' messages. */
   void UpdateFromPeers(TimePoint aNow);
+  /** Applies how rollouts ended, as another daemon states it. */
+  void HandleEndedRollouts(
+    const google::protobuf::RepeatedPtrField<serving::EndedRollout>& aEnded);
+  /** Sends this daemon's evidence about the targets of active rollouts, soon
+   * after it has changed. */
+  Task<void> SendTargetEvidence();
   void SendEvidence(const std::vector<std::string>& aCandidates);
   void HandleDatagram(const serving::Datagram& aDatagram);
   /** Discards all received datagrams. After a pause they may be outdated, and
@@ -116,7 +122,8 @@
   PermitClient permits;
   boost::asio::ip::udp::socket socket;
   std::uint64_t sequence = 0;
-  bool limitsSendPending = false; // SendRateLimits is already running
+  bool limitsSendPending = false;
+  bool evidenceSendPending = false; // SendRateLimits is already running
 };
 
 } // namespace toucanshed
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -217,6 +217,20 @@
   return report;
 }
 
+serving::EndedRolloutReport
+MakeEndedRolloutReport(const ServingState& aState)
+{
+  serving::EndedRolloutReport report;
+  for (const EndedRollout& ended : aState.rollouts.Ended()) {
+    serving::EndedRollout* entry = report.add_rollouts();
+    entry->set_service(ended.service.value);
+    entry->set_target(ended.target.value);
+    entry->set_order(ended.order.value);
+    entry->set_completed(ended.phase == RolloutPhase::eCompleted);
+  }
+  return report;
+}
+
 serving::DaemonHeartbeat
 MakeHeartbeat(ServingState& aState, std::uint64_t aSequence)
 {
@@ -251,6 +265,8 @@
     entry->set_service(service.value);
     entry->set_prompt_tokens_per_s(meter.At(now));
   }
+  *heartbeat.mutable_ended_rollouts() =
+    MakeEndedRolloutReport(aState).rollouts();
   const std::size_t daemons = aState.DaemonCount();
   for (const FactEntry& fact : aState.facts.TakeForGossip(daemons)) {
     auto* entry = heartbeat.add_facts();
--- a/src/serve/PeerReports.h
+++ b/src/serve/PeerReports.h
@@ -54,6 +54,9 @@
 
 /** Builds a report of the rate limits that the other daemons must receive at
  * once, and marks them as reported. */
+serving::EndedRolloutReport
+MakeEndedRolloutReport(const ServingState& aState);
+
 serving::RateLimitReport
 TakeUrgentLimits(ServingState& aState);
 
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -391,6 +391,9 @@
                                backend->entry.version,
                                Stratum{ 0, this->request.route->name },
                                observation);
+  if (backend->entry.version == rollout->order.target) {
+    this->state.sendEvidence();
+  }
 }
 
 Task<void>
--- a/src/serve/RolloutMonitor.cpp
+++ b/src/serve/RolloutMonitor.cpp
@@ -7,6 +7,7 @@
 #include "edge/Worker.h"
 
 #include <algorithm>
+#include <set>
 
 namespace toucanshed {
 
@@ -15,47 +16,42 @@
 /** A bad version must be off traffic within seconds. The evidence changes with
  * the other daemons' messages, several times a second. */
 constexpr Millis kPollInterval{ 200 };
-/** Lifetime of facts about a rollout, far beyond its order's deadline. */
-constexpr Millis kFactLifetime{ 10 * 60 * 1000 };
 constexpr Millis kRetryInterval{ 500 };
 
-std::string
-RolloutFactKey(const RolloutOrder& aOrder, RolloutPhase aPhase)
+/** Applies the statuses in the store. \return whether the store responded. */
+Task<bool>
+ReadStatuses(ServingState& aState)
 {
-  const char* kind =
-    aPhase == RolloutPhase::eCompleted ? "move-completed/" : "move-taken-back/";
-  return kind + aOrder.service.value + "/" +
-         std::to_string(aOrder.position.value);
+  const auto page = co_await ReadLatest(aState, StoreTopic::eStatus);
+  if (!page) {
+    co_return false;
+  }
+  for (const KeyedRecord& record : page->records) {
+    const auto status = aState.wire.records.readRolloutStatus(*record.value);
+    if (status) {
+      aState.rollouts.RecordEnd(EndedRollout{
+        status->service, status->target, status->order, status->phase });
+    }
+  }
+  co_return true;
 }
 
-/** Applies the statuses in the store to orders that are still in force. */
+/** Reads the statuses after each snapshot that brought active rollouts. It runs
+ * beside the evaluation, which must not wait for the store. */
 Task<void>
-ReadEndedRollouts(ServingState& aState)
+FollowStatuses(ServingState& aState)
 {
   while (true) {
-    const auto page = co_await ReadLatest(aState, StoreTopic::eStatus);
-    if (!page) {
-      co_await Sleep(kRetryInterval);
+    const std::uint64_t snapshots = aState.orderSnapshots;
+    if (aState.statusesReadFor == snapshots) {
+      co_await Sleep(kPollInterval);
       continue;
     }
-    for (const KeyedRecord& record : page->records) {
-      const auto status = aState.wire.records.readRolloutStatus(*record.value);
-      if (status) {
-        aState.rollouts.End(status->service, status->order, status->phase);
-      }
-    }
-    co_return;
-  }
-}
-
-void
-ApplyRolloutFacts(ServingState& aState, const Rollout& aRollout)
-{
-  for (const RolloutPhase phase :
-       { RolloutPhase::eRolledBack, RolloutPhase::eCompleted }) {
-    if (aState.facts.Contains(RolloutFactKey(aRollout.order, phase))) {
-      aState.rollouts.End(
-        aRollout.order.service, aRollout.order.position, phase);
+    const bool read = co_await ReadStatuses(aState);
+    if (read) {
+      aState.statusesReadFor = snapshots;
+    } else {
+      co_await Sleep(kRetryInterval);
     }
   }
 }
@@ -96,14 +92,20 @@
 VersionVerdict
 EvaluateRollout(const ServingState& aState, const Rollout& aRollout)
 {
-  StratumTallies oldTallies;
+  std::set<VersionId> oldVersions;
   for (const auto& [id, backend] : aState.backends.All()) {
     const VersionId& version = backend.entry.version;
     const bool isOld = backend.entry.service == aRollout.order.service &&
-                       version != aRollout.order.target;
+                       aState.rollouts.IsOldVersion(aRollout, version);
     if (isOld) {
-      oldTallies = aState.evidence.Sum(aRollout.order.position, version);
-      break; // one old version: an order replaces one by another
+      oldVersions.insert(version);
+    }
+  }
+  StratumTallies oldTallies;
+  for (const VersionId& version : oldVersions) {
+    for (const auto& [stratum, tally] :
+         aState.evidence.Sum(aRollout.order.position, version)) {
+      oldTallies[stratum] += tally;
     }
   }
   const StratumTallies newTallies =
@@ -116,29 +118,23 @@
            const RolloutOrder& aOrder,
            RolloutPhase aPhase)
 {
-  const TimePoint now = ServingState::Now();
-  aState.rollouts.End(aOrder.service, aOrder.position, aPhase);
-  FactEntry fact;
-  fact.key = RolloutFactKey(aOrder, aPhase);
-  fact.expires = now + kFactLifetime;
-  aState.facts.Add(std::move(fact), now);
+  const bool isNews = aState.rollouts.RecordEnd(
+    EndedRollout{ aOrder.service, aOrder.target, aOrder.position, aPhase });
+  if (isNews) {
+    aState.sendEndedRollouts();
+  }
 }
 
 Task<void>
 MonitorRollouts(ServingState& aState)
 {
-  while (!aState.Ready()) {
-    co_await Sleep(kPollInterval);
-  }
-  // Only an order that existed before this daemon started may have ended
-  // already.
-  if (!aState.rollouts.Active().empty()) {
-    co_await ReadEndedRollouts(aState);
-  }
+  aState.pool.First().Spawn(FollowStatuses(aState));
   while (true) {
     co_await Sleep(kPollInterval);
+    if (aState.catalog == nullptr) {
+      continue;
+    }
     for (const Rollout& rollout : aState.rollouts.Active()) {
-      ApplyRolloutFacts(aState, rollout);
       const VersionVerdict verdict = EvaluateRollout(aState, rollout);
       aState.rollouts.SetReadiness(rollout.order.service,
                                    ReadinessOf(aState, rollout, verdict),
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -27,7 +27,12 @@
                            settings.bounds.quotaSlack })
   , quotaExchange(settings.id)
   , usage(settings.bounds.usageWindow)
-  , rollouts(ExposureLimits{ settings.bounds.exposureShare })
+  , rollouts(ExposureLimits{ settings.bounds.exposureShare },
+             [this](TimePoint aNow) {
+               return this->statusesReadFor == this->orderSnapshots &&
+                      this->limitShares.HearsMajority(aNow) &&
+                      this->peers.HearsDutyCandidate(aNow);
+             })
   , evidence(settings.id.value + "/" + std::to_string(aIncarnation))
   , peers(settings.id)
   , limitShares(settings.id, startedAt)
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -117,6 +117,10 @@
   std::map<ServiceId, RateMeter> promptRates; // prompt tokens sent for prefill
   FactSet facts;
   Rollouts rollouts;
+  /** Snapshots of the operators' topic that brought active rollouts, which may
+   * have ended before; and how many of them the statuses were read for. */
+  std::uint64_t orderSnapshots = 0;
+  std::uint64_t statusesReadFor = 0;
   EvidenceTable evidence;
   PeerTable peers;
   LimitShares limitShares;
@@ -127,6 +131,11 @@
   SendGate sendGate;
   EngineReach engineReach;
   RelayChoice relayChoice;
+  /** Reports to the other daemons at once how rollouts ended. */
+  std::function<void()> sendEndedRollouts = [] {};
+  /** Schedules a report of this daemon's evidence about rollouts' targets, for
+   * those that judge them. */
+  std::function<void()> sendEvidence = [] {};
   /** Finds out what a failure at a back end is due to, if need be by new
    * connections to others. Without it every failure is its back end's. */
   std::function<Task<FailureCause>(InstanceId)> findFailureCause =
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -143,6 +143,7 @@
 struct RolloutStatusRecord
 {
   ServiceId service;
+  VersionId target;
   Position order;
   RolloutPhase phase = RolloutPhase::eActive;
 };
--- /dev/null
+++ b/test/VerdictSimulation.cpp
@@ -0,0 +1,266 @@
+#include "VerdictSimulation.h"
+
+#include "HeartbeatTiming.h"
+#include "coord/VersionComparison.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucanshed::test {
+
+namespace {
+
+const ServiceId kService{ "model" };
+const VersionId kOld{ "v1" };
+const VersionId kTarget{ "v2" };
+const RolloutOrder kOrder{ kService, kTarget, Millis(300000), Position{ 5 } };
+constexpr std::size_t kBadResponsesAllowed = 50;
+constexpr Millis kRollbackTime{ 5000 };
+constexpr Millis kContact{ 3000 };
+constexpr Millis kMaxResponse{ 200 };
+constexpr Millis kMaxMessageDelay{ 300 };
+constexpr Millis kEvidenceJitter{ 200 };
+constexpr Millis kEvaluationInterval{ 200 };
+constexpr std::uint64_t kLossOneIn = 20;
+
+DaemonId
+IdOf(std::size_t aDaemon)
+{
+  return DaemonId{ "daemon-" + std::to_string(aDaemon) };
+}
+
+} // namespace
+
+VerdictSimulation::VerdictSimulation(std::size_t aDaemons)
+  : daemons(aDaemons)
+{
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    this->StartDaemon(i);
+  }
+}
+
+void
+VerdictSimulation::StartDaemon(std::size_t aDaemon)
+{
+  Daemon& daemon = this->daemons[aDaemon];
+  ++daemon.life;
+  daemon.startedAt = this->now;
+  daemon.shares = std::make_unique<LimitShares>(IdOf(aDaemon), this->now);
+  daemon.peers = std::make_unique<PeerTable>(IdOf(aDaemon));
+  daemon.shares->SetPeerTimeout(HeartbeatTimeout(this->daemons.size()));
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    daemon.shares->AddPeer(IdOf(i), this->now);
+    daemon.peers->AddPeer(IdOf(i), std::to_string(i));
+  }
+  daemon.shares->MarkListRead();
+  LimitShares& shares = *daemon.shares;
+  PeerTable& peers = *daemon.peers;
+  daemon.rollouts = std::make_unique<Rollouts>(
+    ExposureLimits{}, [&shares, &peers](TimePoint aNow) {
+      return shares.HearsMajority(aNow) && peers.HearsDutyCandidate(aNow);
+    });
+  daemon.evidence = std::make_unique<EvidenceTable>(
+    IdOf(aDaemon).value + "/" + std::to_string(daemon.life));
+  daemon.heartbeatAt =
+    this->now + this->RandomDelay(HeartbeatInterval(this->daemons.size()));
+  daemon.evaluateAt = this->now + this->RandomDelay(kEvaluationInterval);
+  if (this->ordered) {
+    daemon.rollouts->Start(kOrder, this->now);
+  }
+}
+
+void
+VerdictSimulation::RestartDaemon(std::size_t aDaemon)
+{
+  this->StartDaemon(aDaemon);
+}
+
+void
+VerdictSimulation::Order(double aBadShare)
+{
+  this->badShare = aBadShare;
+  this->ordered = true;
+  for (Daemon& daemon : this->daemons) {
+    daemon.rollouts->Start(kOrder, this->now);
+  }
+}
+
+void
+VerdictSimulation::After(Millis aDelay, Step aStep)
+{
+  this->steps.emplace(this->now + aDelay, std::move(aStep));
+}
+
+Millis
+VerdictSimulation::RandomDelay(Millis aMax)
+{
+  const auto max = static_cast<std::uint64_t>(aMax.count());
+  return Millis(1 + this->random.NextBelow(max));
+}
+
+void
+VerdictSimulation::Send(std::size_t aFrom,
+                        std::size_t aTo,
+                        std::function<void(Daemon&)> aApply)
+{
+  const bool cut = (aFrom < this->partitionedAt) != (aTo < this->partitionedAt);
+  if (aFrom == aTo || cut || this->random.NextBelow(kLossOneIn) == 0) {
+    return;
+  }
+  const std::uint64_t life = this->daemons[aTo].life;
+  this->After(this->RandomDelay(kMaxMessageDelay),
+              [this, aTo, life, apply = std::move(aApply)] {
+                if (this->daemons[aTo].life == life) {
+                  apply(this->daemons[aTo]);
+                }
+              });
+}
+
+void
+VerdictSimulation::SendRequest()
+{
+  const std::size_t index = this->random.NextBelow(this->daemons.size());
+  Daemon& daemon = this->daemons[index];
+  const AttemptId attempt{ std::to_string(++this->attempts) };
+  const bool toTarget =
+    this->ordered &&
+    daemon.rollouts->MayUse(kService, kTarget, attempt, this->now);
+  const bool inTouch = this->now - daemon.startedAt > kContact;
+  const bool late = this->limitAt.ms != 0 && this->now > this->limitAt;
+  this->sentToTarget += toTarget ? 1 : 0;
+  this->sentTooLate += toTarget && late && inTouch ? 1 : 0;
+  this->After(this->RandomDelay(kMaxResponse),
+              [this, index, life = daemon.life, toTarget] {
+                this->Respond(index, life, toTarget);
+              });
+}
+
+void
+VerdictSimulation::Respond(std::size_t aDaemon,
+                           std::uint64_t aLife,
+                           bool aTarget)
+{
+  constexpr std::uint64_t kParts = 1000;
+  Observation observation;
+  observation.error =
+    aTarget && this->random.NextBelow(kParts) <
+                 static_cast<std::uint64_t>(this->badShare * kParts);
+  this->badResponses += observation.error ? 1 : 0;
+  if (this->badResponses == kBadResponsesAllowed && this->limitAt.ms == 0) {
+    this->limitAt = this->now + kRollbackTime;
+  }
+  Daemon& daemon = this->daemons[aDaemon];
+  if (daemon.life != aLife) {
+    return;
+  }
+  daemon.evidence->Observe(
+    kOrder.position, aTarget ? kTarget : kOld, Stratum{}, observation);
+  if (aTarget) {
+    this->After(this->RandomDelay(kEvidenceJitter), [this, aDaemon, aLife] {
+      if (this->daemons[aDaemon].life == aLife) {
+        this->SendEvidence(aDaemon);
+      }
+    });
+  }
+}
+
+void
+VerdictSimulation::SendEvidence(std::size_t aDaemon)
+{
+  const auto evidence =
+    this->daemons[aDaemon].evidence->LocalEvidence(kOrder.position);
+  for (const std::string& address :
+       this->daemons[aDaemon].peers->DutyCandidateAddresses(this->now)) {
+    this->Send(aDaemon, std::stoul(address), [evidence](Daemon& aTo) {
+      for (const peer::Evidence& entry : evidence) {
+        aTo.evidence->Merge(entry);
+      }
+    });
+  }
+}
+
+void
+VerdictSimulation::SendEnded(std::size_t aDaemon, std::size_t aTo)
+{
+  this->Send(aDaemon,
+             aTo,
+             [ended = this->daemons[aDaemon].rollouts->Ended()](Daemon& aTo) {
+               for (const EndedRollout& end : ended) {
+                 aTo.rollouts->RecordEnd(end);
+               }
+             });
+}
+
+void
+VerdictSimulation::SendHeartbeat(std::size_t aDaemon)
+{
+  Daemon& daemon = this->daemons[aDaemon];
+  serving::DaemonHeartbeat heartbeat;
+  heartbeat.set_id(IdOf(aDaemon).value);
+  heartbeat.set_life(daemon.life);
+  heartbeat.set_sequence(++daemon.heartbeats);
+  heartbeat.set_address(std::to_string(aDaemon));
+  for (std::size_t to = 0; to < this->daemons.size(); ++to) {
+    this->Send(aDaemon, to, [this, heartbeat](Daemon& aTo) {
+      aTo.peers->ReceiveHeartbeat(heartbeat, this->now);
+      aTo.shares->RecordHeartbeat(DaemonId{ heartbeat.id() }, this->now);
+    });
+    this->SendEnded(aDaemon, to);
+  }
+  this->SendEvidence(aDaemon);
+}
+
+void
+VerdictSimulation::Evaluate(std::size_t aDaemon)
+{
+  Daemon& daemon = this->daemons[aDaemon];
+  const Rollout* rollout = daemon.rollouts->Find(kService);
+  if (rollout == nullptr || rollout->phase != RolloutPhase::eActive) {
+    return;
+  }
+  const VersionVerdict verdict =
+    CompareVersions(daemon.evidence->Sum(kOrder.position, kOld),
+                    daemon.evidence->Sum(kOrder.position, kTarget),
+                    VersionComparisonLimits{});
+  if (!verdict.bad) {
+    return;
+  }
+  daemon.rollouts->RecordEnd(EndedRollout{
+    kService, kTarget, kOrder.position, RolloutPhase::eRolledBack });
+  for (std::size_t to = 0; to < this->daemons.size(); ++to) {
+    this->SendEnded(aDaemon, to);
+  }
+}
+
+void
+VerdictSimulation::Run(Millis aDuration, double aRequestsPerS)
+{
+  constexpr double kMillisPerSecond = 1000;
+  const TimePoint end = this->now + aDuration;
+  const Millis interval = HeartbeatInterval(this->daemons.size());
+  while (this->now < end) {
+    this->now = this->now + Millis(1);
+    while (!this->steps.empty() && this->steps.begin()->first <= this->now) {
+      const Step step = std::move(this->steps.begin()->second);
+      this->steps.erase(this->steps.begin());
+      step();
+    }
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+      Daemon& daemon = this->daemons[i];
+      if (daemon.heartbeatAt <= this->now) {
+        daemon.heartbeatAt = this->now + interval;
+        this->SendHeartbeat(i);
+      }
+      if (daemon.evaluateAt <= this->now) {
+        daemon.evaluateAt = this->now + kEvaluationInterval;
+        this->Evaluate(i);
+      }
+    }
+    this->pendingLoad += aRequestsPerS / kMillisPerSecond;
+    for (; this->pendingLoad >= 1; this->pendingLoad -= 1) {
+      this->SendRequest();
+    }
+  }
+}
+
+} // namespace toucanshed::test
--- /dev/null
+++ b/test/VerdictSimulation.h
@@ -0,0 +1,86 @@
+/** \file
+ * Simulates, in logical time, daemons that move a service's traffic to a
+ * version which turns out to be bad, and tell each other about it.
+ */
+#pragma once
+
+#include "base/Random.h"
+#include "coord/Evidence.h"
+#include "coord/LimitShares.h"
+#include "coord/PeerTable.h"
+#include "coord/Rollouts.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace toucanshed::test {
+
+class VerdictSimulation
+{
+public:
+  explicit VerdictSimulation(std::size_t aDaemons);
+
+  /** Simulates requests, each to a random daemon. */
+  void Run(Millis aDuration, double aRequestsPerS);
+  /** All daemons read the order; the target fails a share of its requests. */
+  void Order(double aBadShare);
+  /** The daemon restarts and reads the order, without a status. */
+  void RestartDaemon(std::size_t aDaemon);
+  /** No messages pass between the daemons below aFirst and the others; 0: all
+   * pass. */
+  void Partition(std::size_t aFirst) { this->partitionedAt = aFirst; }
+
+  [[nodiscard]] std::size_t BadResponses() const { return this->badResponses; }
+  /** Requests that a daemon sent to the target later than the time allowed
+   * after its 50th bad response, from kContact after the daemon's start on. */
+  [[nodiscard]] std::size_t SentTooLate() const { return this->sentTooLate; }
+  /** Requests sent to the target in all. */
+  [[nodiscard]] std::size_t SentToTarget() const { return this->sentToTarget; }
+
+private:
+  struct Daemon
+  {
+    std::unique_ptr<LimitShares> shares;
+    std::unique_ptr<PeerTable> peers;
+    std::unique_ptr<Rollouts> rollouts;
+    std::unique_ptr<EvidenceTable> evidence;
+    std::uint64_t life = 0;
+    std::uint64_t heartbeats = 0;
+    TimePoint startedAt;
+    TimePoint heartbeatAt;
+    TimePoint evaluateAt;
+  };
+  using Step = std::function<void()>;
+
+  void StartDaemon(std::size_t aDaemon);
+  void After(Millis aDelay, Step aStep);
+  Millis RandomDelay(Millis aMax);
+  /** Delivers a message unless it is lost, cut off, or the receiver has
+   * restarted meanwhile. */
+  void Send(std::size_t aFrom, std::size_t aTo, std::function<void(Daemon&)>);
+  void SendRequest();
+  void Respond(std::size_t aDaemon, std::uint64_t aLife, bool aTarget);
+  void SendEvidence(std::size_t aDaemon);
+  void SendEnded(std::size_t aDaemon, std::size_t aTo);
+  void SendHeartbeat(std::size_t aDaemon);
+  void Evaluate(std::size_t aDaemon);
+
+  TimePoint now{ 100000 };
+  std::vector<Daemon> daemons;
+  std::multimap<TimePoint, Step> steps;
+  double pendingLoad = 0; // fraction of a request carried over
+  double badShare = 0;
+  bool ordered = false;
+  std::size_t partitionedAt = 0;
+  std::size_t attempts = 0;
+  std::size_t badResponses = 0;
+  std::size_t sentToTarget = 0;
+  std::size_t sentTooLate = 0;
+  TimePoint limitAt; // when the allowed time after the 50th bad response ends
+  Random random{ 29 };
+};
+
+} // namespace toucanshed::test
--- a/test/correctness/RolloutsTest.cpp
+++ b/test/correctness/RolloutsTest.cpp
@@ -84,6 +84,58 @@
   }
 }
 
+// Guards against a rolled-back version that counts as the old one under the
+// next order.
+TEST_CASE("a rolled-back version gets nothing under a later order")
+{
+  const VersionId third{ "v3" };
+  Rollouts rollouts = MakeRollouts(Millis(40000));
+  rollouts.RecordEnd(EndedRollout{
+    kService, kNewVersion, Position{ 5 }, RolloutPhase::eRolledBack });
+  rollouts.Start(RolloutOrder{ kService, third, Millis(40000), Position{ 9 } },
+                 kStart + Millis(5000));
+  for (int i = 0; i < 2000; ++i) {
+    const TimePoint at = kStart + Millis(5000 + 20 * i);
+    CHECK_FALSE(rollouts.MayUse(kService, kNewVersion, MakeAttempt(i), at));
+    CHECK(rollouts.MayUse(kService, kOldVersion, MakeAttempt(i), at) !=
+          rollouts.MayUse(kService, third, MakeAttempt(i), at));
+  }
+  CHECK_FALSE(rollouts.IsOldVersion(*rollouts.Find(kService), kNewVersion));
+}
+
+// Guards against a daemon that sends to a new version while it would not hear
+// that another one has found it bad.
+TEST_CASE("a daemon that hears no others sends a new version nothing")
+{
+  bool informed = false;
+  Rollouts rollouts(ExposureLimits{},
+                    [&informed](TimePoint) { return informed; });
+  rollouts.Start(
+    RolloutOrder{ kService, kNewVersion, Millis(40000), Position{ 5 } },
+    kStart);
+  CHECK(NewVersionShare(rollouts, kStart, Millis(39000)) == 0);
+  CHECK(rollouts.MayUse(kService, kOldVersion, MakeAttempt(1), kStart));
+  informed = true;
+  CHECK(NewVersionShare(rollouts, kStart, Millis(39000)) > 0);
+}
+
+// Guards against an order that is read after its end was heard of.
+TEST_CASE("an order whose end is known already does not start")
+{
+  Rollouts rollouts(ExposureLimits{});
+  rollouts.RecordEnd(EndedRollout{
+    kService, kNewVersion, Position{ 5 }, RolloutPhase::eRolledBack });
+  rollouts.Start(
+    RolloutOrder{ kService, kNewVersion, Millis(40000), Position{ 5 } },
+    kStart);
+  CHECK(rollouts.Active().empty());
+  // The operator orders the version again.
+  rollouts.Start(
+    RolloutOrder{ kService, kNewVersion, Millis(40000), Position{ 7 } },
+    kStart);
+  CHECK(rollouts.Active().size() == 1);
+}
+
 TEST_CASE("a good rollout drains, then ends before its deadline")
 {
   const Millis duration{ 12000 };
@@ -129,8 +181,10 @@
 TEST_CASE("an ended rollout is final until a later order")
 {
   Rollouts rollouts = MakeRollouts(Millis(12000));
-  rollouts.End(kService, Position{ 5 }, RolloutPhase::eRolledBack);
-  rollouts.End(kService, Position{ 5 }, RolloutPhase::eCompleted);
+  rollouts.RecordEnd(EndedRollout{
+    kService, kNewVersion, Position{ 5 }, RolloutPhase::eRolledBack });
+  rollouts.RecordEnd(EndedRollout{
+    kService, kNewVersion, Position{ 5 }, RolloutPhase::eCompleted });
   CHECK_FALSE(rollouts.MayUse(kService, kNewVersion, MakeAttempt(1), kStart));
   CHECK(rollouts.MayUse(kService, kOldVersion, MakeAttempt(1), kStart));
   rollouts.Start(
