Two failing tests: the store comes back from an older copy

The stand-in store plays it: it keeps a copy, goes back to it, states the era in each response, gives positions out again, answers 410 beyond its end, and can hold appends and execute them later.

--- a/standin/platform/Store.cpp
+++ b/standin/platform/Store.cpp
@@ -93,6 +93,28 @@
     aTopic, static_cast<char>(aKey.size()) + aKey + aValue.value_or(""));
 }
 
+void
+PlatformStore::TakeCopy()
+{
+  this->copy = this->topics;
+}
+
+void
+PlatformStore::Restore()
+{
+  this->topics = this->copy;
+  ++this->era;
+}
+
+void
+PlatformStore::ExecuteHeldAppends()
+{
+  for (const HttpRequest& request : this->heldAppends) {
+    this->Append(request);
+  }
+  this->heldAppends.clear();
+}
+
 void
 PlatformStore::DropHistory(const std::string& aTopic)
 {
@@ -136,7 +158,7 @@
   ++this->reads;
   Topic& topic = this->topics[QueryParamOf(aRequest.target(), "topic")];
   const std::uint64_t from = QueryNumberOf(aRequest.target(), "from");
-  if (from < topic.firstPosition) {
+  if (from < topic.firstPosition || from > EndOf(topic)) {
     return MakeResponse(
       410, json::serialize(json::object{ { "first", topic.firstPosition } }));
   }
@@ -167,16 +189,27 @@
   return MakeResponse(kOk, json::serialize(result));
 }
 
+void
+PlatformStore::StateEra(HttpResponse& aResponse) const
+{
+  aResponse.set("Store-Era", std::to_string(this->era));
+}
+
 Task<void>
 PlatformStore::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
   if (this->down) {
     HttpResponse response = MakeResponse(503, "");
+    this->StateEra(response);
     co_await aResponder.Send(std::move(response));
     co_return;
   }
   const std::string_view path = PathOf(aRequest.target());
   HttpResponse response = MakeResponse(404, "");
+  if (path == "/log-append" && this->holdAppends) {
+    this->heldAppends.push_back(aRequest);
+    co_return; // no response is sent, and the connection closes
+  }
   if (path == "/log-append") {
     response = this->Append(aRequest);
     if (this->dropAppendResponses) {
@@ -201,6 +234,7 @@
     }
     this->reads = before + 1;
   }
+  this->StateEra(response);
   co_await aResponder.Send(std::move(response));
 }
 
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -29,12 +29,21 @@
                    const std::optional<std::string>& aValue);
   /** Appends a record as another daemon does. */
   void AppendRecord(const std::string& aTopic, const std::string& aRecord);
+  /** Keeps a copy of all topics, which Restore goes back to. */
+  void TakeCopy();
+  /** Goes back to the copy: what was written since is gone, its positions are
+   * given out again, and a new era begins. */
+  void Restore();
   /** Drops a topic's history; the latest record of each key is retained. */
   void DropHistory(const std::string& aTopic);
   [[nodiscard]] std::size_t RecordCount(const std::string& aTopic) const;
 
   bool down = false;                // every call gets a 503
   bool dropAppendResponses = false; // appends take effect but get no response
+  /** Appends get no response and are executed by ExecuteHeldAppends. */
+  bool holdAppends = false;
+  void ExecuteHeldAppends();
+  std::uint64_t era = 1;                  // stated in each response
   std::size_t maxRecordsPerRead = 100000; // per response to a read
   std::size_t reads = 0;
   std::size_t appends = 0;
@@ -47,12 +56,15 @@
     std::map<std::string, std::pair<std::string, std::uint64_t>> latestByKey;
   };
 
+  void StateEra(HttpResponse& aResponse) const;
   HttpResponse Append(const HttpRequest& aRequest);
   HttpResponse Read(const HttpRequest& aRequest);
   HttpResponse ReadLatest(const HttpRequest& aRequest);
   static std::uint64_t EndOf(const Topic& aTopic);
 
   std::map<std::string, Topic> topics;
+  std::map<std::string, Topic> copy;
+  std::vector<HttpRequest> heldAppends;
 };
 
 } // namespace toucanshed::standin
--- /dev/null
+++ b/test/failure/StoreRestoreTest.cpp
@@ -0,0 +1,141 @@
+#include "test/PlatformHarness.h"
+
+#include "serve/DutyRunner.h"
+#include "serve/StoreWatcher.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace toucanshed::test {
+namespace {
+
+constexpr const char* kOperator = "keyed.op";
+
+void
+WriteCatalog(PlatformHarness& aHarness, std::uint64_t aVersion)
+{
+  aHarness.store.AppendKeyed(
+    kOperator, "config", PlatformHarness::CatalogText(aVersion));
+}
+
+/** Keeps a daemon from reading the store for the others: it hears many, of
+ * which some would read before it. */
+Task<void>
+KeepFromReading(ServingState& aState)
+{
+  constexpr int kOthers = 40;
+  for (std::uint64_t sequence = 1;; ++sequence) {
+    for (int i = 0; i < kOthers; ++i) {
+      serving::DaemonHeartbeat other;
+      other.set_id("other-" + std::to_string(i));
+      other.set_life(1);
+      other.set_sequence(sequence);
+      aState.peers.ReceiveHeartbeat(other, ServingState::Now());
+    }
+    co_await Sleep(std::chrono::milliseconds(200));
+  }
+}
+
+/** The distinct report bodies that the cloud accepted, by window. */
+std::map<std::string, std::set<std::string>>
+ReportsByWindow(const standin::PlatformCloud& aCloud)
+{
+  std::map<std::string, std::set<std::string>> reports;
+  for (const auto& call : aCloud.accepted) {
+    const auto comma = call.body.find(',');
+    reports[call.body.substr(0, comma)].insert(call.body);
+  }
+  return reports;
+}
+
+} // namespace
+
+// Guards against a daemon that takes its copy of the configuration to be
+// current because it had read further before the store went back.
+TEST_CASE("a configuration is in force in time after the store went back")
+{
+  PlatformHarness harness(24040);
+  harness.AddEngine("e1", "plain");
+  ServingState& peer = harness.AddPeerDaemon();
+  harness.state->catalog = nullptr;
+  peer.catalog = nullptr;
+  std::uint64_t before = 0;
+  std::size_t late = 0;
+  harness.Run([](PlatformHarness& aHarness,
+                 ServingState& aPeer,
+                 std::uint64_t& aBefore,
+                 std::size_t& aLate) -> Task<void> {
+    aHarness.state->pool.First().Spawn(WatchOperatorTopic(*aHarness.state));
+    aPeer.pool.First().Spawn(KeepFromReading(aPeer));
+    aPeer.pool.First().Spawn(WatchOperatorTopic(aPeer));
+    for (std::uint64_t version = 2; version < 12; ++version) {
+      if (version == 5) {
+        aHarness.store.TakeCopy();
+      }
+      WriteCatalog(aHarness, version);
+      co_await Sleep(std::chrono::milliseconds(100));
+    }
+    co_await Sleep(std::chrono::milliseconds(1200));
+    aBefore = aPeer.catalog->version;
+    aHarness.store.Restore();
+    // A version every 0.6 s, and a look every 0.1 s at whether all that were
+    // written 2 s ago or earlier are in force.
+    constexpr int kLooksPerVersion = 6;
+    constexpr int kLooksAllowed = 20;
+    constexpr std::uint64_t kFirst = 20;
+    for (int look = 0; look < 48; ++look) {
+      const auto written = static_cast<std::uint64_t>(look / kLooksPerVersion);
+      if (look % kLooksPerVersion == 0) {
+        WriteCatalog(aHarness, kFirst + written);
+      }
+      co_await Sleep(std::chrono::milliseconds(100));
+      if (look >= kLooksAllowed) {
+        const auto due =
+          static_cast<std::uint64_t>((look - kLooksAllowed) / kLooksPerVersion);
+        aLate += aPeer.catalog->version < kFirst + due ? 1 : 0;
+      }
+    }
+  }(harness, peer, before, late));
+  CHECK(before == 11);
+  CHECK(late == 0);
+}
+
+// Guards against a report that is added up anew since the store has lost the
+// record of it.
+TEST_CASE("a usage report that the store lost is sent with the same counts")
+{
+  PlatformHarness harness(24060);
+  ServingState& peer = harness.AddPeerDaemon();
+  DutyRunner runner(*harness.state);
+  DutyRunner nextRunner(peer);
+  for (int i = 0; i < 5; ++i) {
+    harness.state->usage.Count(TeamId{ "team-one" },
+                               harness.state->ClusterTimeMs());
+  }
+  harness.Run([](PlatformHarness& aHarness,
+                 ServingState& aPeer,
+                 DutyRunner& aRunner,
+                 DutyRunner& aNextRunner) -> Task<void> {
+    aHarness.store.TakeCopy();
+    aHarness.state->pool.First().Spawn(aRunner.Run());
+    for (int i = 0; i < 400 && aHarness.cloud.accepted.size() < 2; ++i) {
+      co_await Sleep(std::chrono::milliseconds(10));
+    }
+    aHarness.store.Restore();
+    aHarness.state->stopping = true;
+    // Counts that arrived after the report was sent.
+    const std::uint64_t current = aPeer.usage.WindowAt(aPeer.ClusterTimeMs());
+    for (std::uint64_t window = current - 4; window < current; ++window) {
+      aPeer.usage.Count(TeamId{ "team-one" },
+                        aPeer.usage.WindowEnd(window) - 1);
+    }
+    aPeer.pool.First().Spawn(aNextRunner.Run());
+    co_await Sleep(std::chrono::milliseconds(5000));
+  }(harness, peer, runner, nextRunner));
+  CHECK(peer.dutyFence.value != 0);
+  for (const auto& [window, bodies] : ReportsByWindow(harness.cloud)) {
+    CHECK(bodies.size() == 1);
+  }
+}
+
+} // namespace toucanshed::test
