Positions in the store belong to an era

Cause: the store came back from a copy some seconds old and gave offsets out again. A daemon that had read further than the copy's end took each later end that the reader reported to be behind its own, so to have nothing to read.

Class: a position trusted beyond the history that it numbers.

Change: the store's responses state an era. A position is an era and an offset (StorePosition), ordered by both, so that the compiler finds the places. Claims of duties are void in a new era, and the holder of before claims first; fences are packed positions and grow over eras; records name the era they were written in. Members write their entries again. store.era logs the change.

Ways not taken: comparing the configuration's version in reports only (orders and drains have none); dropping every copy when an era changes (hundreds of reads).

--- a/src/coord/DomainDrains.cpp
+++ b/src/coord/DomainDrains.cpp
@@ -4,7 +4,7 @@
 
 bool
 DomainDrains::Apply(const ZoneId& aZone,
-                    Position aPosition,
+                    StorePosition aPosition,
                     bool aBegins,
                     TimePoint aNow)
 {
@@ -31,7 +31,7 @@
 
 std::vector<ZoneId>
 DomainDrains::EndUnlisted(const std::set<ZoneId>& aListed,
-                          Position aEnd,
+                          StorePosition aEnd,
                           TimePoint aNow)
 {
   std::vector<ZoneId> ended;
--- a/src/coord/DomainDrains.h
+++ b/src/coord/DomainDrains.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "base/StorePosition.h"
 #include "base/Types.h"
 
 #include <map>
@@ -14,8 +15,8 @@
 /** The drain of one failure domain. */
 struct DomainDrain
 {
-  Position position; // of the latest record about it
-  TimePoint since;   // when this daemon applied that record
+  StorePosition position; // of the latest record about it
+  TimePoint since;        // when this daemon applied that record
   bool inForce = false;
 };
 
@@ -32,14 +33,14 @@
   /** Applies the record at aPosition, which begins or ends a drain.
    * \return whether the drain has begun or ended thereby */
   bool Apply(const ZoneId& aZone,
-             Position aPosition,
+             StorePosition aPosition,
              bool aBegins,
              TimePoint aNow);
   /** All records before aEnd were read, and aListed are the failure domains
    * with an order.
    * \return those whose drain has ended thereby */
   std::vector<ZoneId> EndUnlisted(const std::set<ZoneId>& aListed,
-                                  Position aEnd,
+                                  StorePosition aEnd,
                                   TimePoint aNow);
 
   [[nodiscard]] bool IsDrained(const ZoneId& aZone) const
--- a/src/coord/DutyLog.h
+++ b/src/coord/DutyLog.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "base/StorePosition.h"
 #include "base/Types.h"
 #include "serving.pb.h"
 
@@ -19,9 +20,9 @@
 {
   DaemonId holder;
   std::uint64_t incarnation = 0;
-  /** Fencing token: the position of the claim's record plus one, as 0 means no
-   * claim. It grows with each claim and is unique. */
-  Position fence;
+  /** The packed position of the claim's record plus one, as 0 means no claim.
+   * It grows with each claim, over eras too, and is unique. */
+  FencingToken fence;
 };
 
 /**
@@ -35,6 +36,11 @@
  * therefore takes the claim from the decisions that refer to it. Otherwise it
  * would ignore their usage reports and record a second one for the same window.
  *
+ * Each record names the store's era in which it was written. When the store has
+ * come back from a copy, the records that it kept are read again, and their
+ * claims have the fences that they had. An append that is executed late, in
+ * another era than it was made for, claims nothing from a later holder.
+ *
  * Thread safety: none; the owner serialises.
  */
 class DutyLog
@@ -49,9 +55,14 @@
   void Apply(const serving::DutyRecord& aRecord, TimePoint aNow);
   /** Continues at a later position when the records before it have been
    * dropped. */
-  void SkipTo(Position aPosition) { this->nextPosition = aPosition; }
+  void SkipTo(StorePosition aPosition) { this->nextPosition = aPosition; }
+  /** Starts over in a new era: what was recorded before may be gone. */
+  void StartEra(StoreEra aEra);
 
-  [[nodiscard]] Position NextPosition() const { return this->nextPosition; }
+  [[nodiscard]] StorePosition NextPosition() const
+  {
+    return this->nextPosition;
+  }
   /** Returns the latest claim, or nullopt when none is known. */
   [[nodiscard]] const std::optional<DutyClaim>& Claim() const
   {
@@ -62,8 +73,8 @@
   {
     return this->superseded.contains(aId);
   }
-  /** Returns when the latest record was read. A running holder appends records
-   * continually. */
+  /** Returns when the latest record of the present era was read. A running
+   * holder appends records continually. */
   [[nodiscard]] TimePoint LatestAt() const { return this->latestAt; }
   /** Returns the latest decision about each service's rollout, by the name of
    * the service. */
@@ -72,6 +83,8 @@
   {
     return this->rolloutDecisions;
   }
+  /** Whether a record of the present era was read. */
+  [[nodiscard]] bool HasCurrentRecords() const { return this->hasCurrent; }
   /** Returns the recorded usage report of each window. */
   [[nodiscard]] const std::map<std::uint64_t, serving::UsageReport>&
   UsageReports() const
@@ -80,9 +93,11 @@
   }
 
 private:
+  /** Ignores a claim with a lower fence than the latest one's. */
   void SetClaim(DutyClaim aClaim);
 
-  Position nextPosition;
+  StorePosition nextPosition;
+  bool hasCurrent = false;
   std::set<DaemonId> superseded;
   std::optional<DutyClaim> claim;
   TimePoint latestAt;
--- a/src/coord/ListRevisions.h
+++ b/src/coord/ListRevisions.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "base/StorePosition.h"
 #include "base/Types.h"
 
 #include <algorithm>
@@ -20,7 +21,7 @@
 {
   std::string key;
   std::optional<std::string> value; // nothing: the entry is gone
-  Position position;
+  StorePosition position;
   TimePoint readAt;
   bool leaving = false; // the rest of the entry no longer matters
 };
@@ -48,9 +49,9 @@
 
   /** \return whether the record is newer than the applied one; it then counts
    *   as applied. */
-  bool TryAdvance(const std::string& aKey, Position aPosition)
+  bool TryAdvance(const std::string& aKey, StorePosition aPosition)
   {
-    Position& known = this->latestPositions[aKey];
+    StorePosition& known = this->latestPositions[aKey];
     const bool isNewer = aPosition >= this->minPosition && known <= aPosition;
     if (isNewer) {
       known = aPosition;
@@ -62,7 +63,7 @@
   }
   /** The whole list was read; it holds all records before aEnd. Newer records
    * that a report brought during the read stay applied. */
-  void RecordFullRead(Position aEnd)
+  void RecordFullRead(StorePosition aEnd)
   {
     this->minPosition = std::max(this->minPosition, aEnd);
     std::erase_if(this->latestPositions, [this](const auto& aPair) {
@@ -91,17 +92,17 @@
 
 private:
   /** Position of the newest applied record. */
-  [[nodiscard]] Position HighestPosition() const
+  [[nodiscard]] StorePosition HighestPosition() const
   {
-    Position highest;
+    StorePosition highest;
     for (const auto& [key, position] : this->latestPositions) {
       highest = std::max(highest, position);
     }
     return highest;
   }
 
-  std::map<std::string, Position> latestPositions;
-  Position minPosition;
+  std::map<std::string, StorePosition> latestPositions;
+  StorePosition minPosition;
   std::deque<ListChange> changes;
 };
 
--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -259,8 +259,8 @@
     const bool holds = peer.hasHeartbeat && peer.heartbeat.duty_fence() != 0 &&
                        !peer.heartbeat.stopping();
     if (holds && (!holder || holder->receivedAt < peer.heartbeatAt)) {
-      holder = DutyHolderState{ peer.heartbeatAt,
-                                Position{ peer.heartbeat.duty_end() } };
+      holder =
+        DutyHolderState{ peer.heartbeatAt, Unpack(peer.heartbeat.duty_end()) };
     }
   }
   return holder;
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -5,6 +5,7 @@
 
 #include "BackendTable.h"
 #include "RelayChoice.h"
+#include "base/StorePosition.h"
 #include "serving.pb.h"
 
 #include <algorithm>
@@ -98,7 +99,7 @@
   struct DutyHolderState
   {
     TimePoint receivedAt;
-    Position dutyLogEnd; // end of the duty log, as known to the holder
+    StorePosition dutyLogEnd; // end of the duty log, as known to the holder
   };
   [[nodiscard]] std::optional<DutyHolderState> DutyHolder() const;
   /** Longest usual time without a heartbeat of any of the duty candidates,
--- a/src/coord/RolloutOrder.h
+++ b/src/coord/RolloutOrder.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "base/StorePosition.h"
 #include "base/Types.h"
 
 namespace toucanshed {
@@ -21,7 +22,12 @@
   ServiceId service;
   VersionId target;
   Millis duration{ 0 }; // until it has to be completed or rolled back
-  Position position;    // of its record; a later order supersedes it
+  /** Identifies the order: packed position of the first record of it that was
+   * read. A later order supersedes it. */
+  Position position;
+  /** Its record in the store's latest era; it was written again there if the
+   * store had lost it. */
+  StorePosition record;
 };
 
 } // namespace toucanshed
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -13,7 +13,7 @@
 LogBackendChange(ServingState& aState,
                  const Backend& aBackend,
                  const char* aChange,
-                 Position aPosition,
+                 StorePosition aPosition,
                  const BackendListRead& aRead)
 {
   const BackendEntry& entry = aBackend.entry;
@@ -30,7 +30,7 @@
       .With("version", entry.version)
       .With("reader", aRead.reader)
       .With("read_ms_ago", (now - aRead.asOf).count())
-      .With("position", aPosition.value)
+      .With("position", aPosition.offset)
       .With("sent_ms_ago", used ? (now - aBackend.lastSentAt).count() : -1)
       .With("running", aBackend.localLoad.running));
 }
@@ -40,7 +40,7 @@
 void
 RemoveBackend(ServingState& aState,
               const InstanceId& aId,
-              Position aPosition,
+              StorePosition aPosition,
               const BackendListRead& aRead)
 {
   const Backend* backend = aState.backends.Find(aId);
@@ -67,7 +67,7 @@
 bool
 ApplyRemoval(ServingState& aState,
              const InstanceId& aId,
-             Position aPosition,
+             StorePosition aPosition,
              const BackendListRead& aRead)
 {
   const bool existed = aState.backends.Find(aId) != nullptr;
@@ -142,7 +142,7 @@
 void
 ApplyLeaving(ServingState& aState,
              const InstanceId& aId,
-             Position aPosition,
+             StorePosition aPosition,
              const BackendListRead& aRead)
 {
   const Backend* backend = aState.backends.Find(aId);
--- a/src/serve/BackendList.h
+++ b/src/serve/BackendList.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "base/StorePosition.h"
 #include "base/Types.h"
 
 namespace toucanshed {
@@ -33,7 +34,7 @@
 void
 ApplyLeaving(ServingState& aState,
              const InstanceId& aId,
-             Position aPosition,
+             StorePosition aPosition,
              const BackendListRead& aRead);
 
 /** Applies the whole list. Back ends that are not in it are removed. */
--- a/src/serve/DatagramCounts.cpp
+++ b/src/serve/DatagramCounts.cpp
@@ -34,6 +34,10 @@
       return "reach";
     case serving::Datagram::kEndedRollouts:
       return "ended_rollouts";
+    case serving::Datagram::kStoreEra:
+      return "store_era";
+    case serving::Datagram::kUsageReports:
+      return "usage_reports";
     default:
       return "other";
   }
--- a/src/serve/DutyRunner.cpp
+++ b/src/serve/DutyRunner.cpp
@@ -47,7 +47,9 @@
 bool
 DutyRunner::HoldsDuties() const
 {
-  return this->state.dutyFence.value != 0;
+  const std::uint64_t fence = this->state.dutyFence.value;
+  return fence != 0 && Unpack(fence - 1).era ==
+                         this->state.storeEra.value_or(Unpack(fence - 1).era);
 }
 
 Task<void>
@@ -56,6 +58,7 @@
   co_await this->ReclaimAfterRestart();
   while (!this->state.stopping) {
     co_await Sleep(kPollInterval);
+    this->FollowEra();
     this->UpdateHolder();
     this->UpdatePlanner();
     if (this->HoldsDuties() && this->IsStoreUnreachable()) {
@@ -67,7 +70,25 @@
       co_await this->TryClaim();
     }
   }
-  this->state.dutyFence = Position{};
+  this->state.dutyFence = FencingToken{};
+}
+
+void
+DutyRunner::FollowEra()
+{
+  const StoreEra known = this->dutyLog.NextPosition().era;
+  const StoreEra era = this->state.storeEra.value_or(known);
+  if (era == known) {
+    return;
+  }
+  this->heldBeforeEra = this->state.dutyFence.value != 0;
+  if (this->heldBeforeEra) {
+    this->StepDown("the store came back from a copy");
+  }
+  this->dutyLog.StartEra(era);
+  this->logRead = false;
+  this->writtenStatuses.clear();
+  this->reportedDelays.clear();
 }
 
 Task<void>
@@ -132,6 +153,10 @@
   if (backsOff) {
     return false;
   }
+  // The holder of before goes first: it knows what was decided.
+  if (this->heldBeforeEra && !this->state.storeLostSince) {
+    return true;
+  }
   const Millis stagger = kClaimStagger * this->CandidatesAhead();
   if (this->dutyLog.WasSuperseded(this->state.settings.id)) {
     const Millis lease = this->state.settings.bounds.lease + kLeaseMargin;
@@ -140,7 +165,9 @@
   }
   // No heartbeat names a holder any more, so the holder has stepped down and
   // its claim need not time out.
-  const bool steppedDown = this->holderSeen && !this->state.peers.DutyHolder();
+  const bool steppedDown = this->holderSeen &&
+                           !this->state.peers.DutyHolder() &&
+                           this->dutyLog.LatestAt() <= this->holderReportedAt;
   if (steppedDown) {
     return now - this->holderReportedAt > stagger;
   }
@@ -159,8 +186,9 @@
 Task<bool>
 DutyRunner::CatchUp()
 {
+  this->FollowEra();
   while (true) {
-    const Position from = this->dutyLog.NextPosition();
+    const StorePosition from = this->dutyLog.NextPosition();
     const StoreCallLabels purpose{ "read", StoreTopic::eDuties };
     auto response = co_await CallStore(
       this->state,
@@ -172,12 +200,21 @@
     auto page = this->state.wire.store.logPage(*response, from);
     if (!page) {
       const auto first = this->state.wire.store.firstRetained(*response);
-      if (!first || *first <= from) {
+      if (!first || *first == from) {
         co_return false;
       }
+      if (*first < from) {
+        this->dutyLog.StartEra(first->era); // the topic is shorter than it was
+      }
       this->dutyLog.SkipTo(*first);
       continue;
     }
+    const bool isOtherEra = page->first.era != from.era;
+    if (isOtherEra) {
+      this->FollowEra();
+      this->dutyLog.SkipTo(StorePosition{ 0, page->first.era });
+      continue;
+    }
     const TimePoint now = ServingState::Now();
     for (const std::string& text : page->records) {
       serving::DutyRecord record;
@@ -197,7 +234,8 @@
 DutyRunner::TryClaim()
 {
   this->claimTriedAt = ServingState::Now();
-  const Position lastKnownEnd = this->dutyLog.NextPosition();
+  this->heldBeforeEra = false;
+  const StorePosition lastKnownEnd = this->dutyLog.NextPosition();
   const bool caughtUp = co_await this->CatchUp();
   if (!caughtUp) {
     co_return;
@@ -220,7 +258,8 @@
   serving::DutyRecord claim;
   claim.set_holder(this->state.settings.id.value);
   claim.set_life(this->state.incarnation);
-  const Position at = this->dutyLog.NextPosition();
+  const StorePosition at = this->dutyLog.NextPosition();
+  claim.set_era(at.era.value);
   const auto appended = co_await AppendToStore(
     this->state, StoreTopic::eDuties, claim.SerializeAsString(), at);
   if (!appended) {
@@ -241,7 +280,7 @@
   this->state.log.Emit(Event("duty.given_up")
                          .With("fence", this->state.dutyFence.value)
                          .With("why", aReason));
-  this->state.dutyFence = Position{};
+  this->state.dutyFence = FencingToken{};
   this->holderSeen = true;
   this->holderReportedAt = ServingState::Now();
 }
@@ -252,6 +291,7 @@
   aRecord.set_holder(this->state.settings.id.value);
   aRecord.set_life(this->state.incarnation);
   aRecord.set_fence(this->state.dutyFence.value);
+  aRecord.set_era(this->dutyLog.NextPosition().era.value);
   const TimePoint startedAt = this->bootTime();
   const auto appended = co_await AppendToStore(this->state,
                                                StoreTopic::eDuties,
--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -66,7 +66,9 @@
    * response. */
   Task<void> RecordAndSendOrders(std::vector<GroupTarget> aOrders,
                                  double aRequired);
-  Task<void> SendOrder(GroupTarget aOrder, Position aFence, double aRequired);
+  Task<void> SendOrder(GroupTarget aOrder,
+                       FencingToken aFence,
+                       double aRequired);
   /** Engines that the peak demand of the recent window requires. */
   double RecentPeakDemand(const ServiceSpec& aService, TimePoint aNow);
   /** Reads the records added since the last read. \return whether the store
@@ -75,6 +77,9 @@
   /** Appends a record of this holder. \return whether it was appended and the
    * claim still holds. */
   Task<bool> AppendRecord(serving::DutyRecord aRecord);
+  /** Starts over when the store has come back from a copy: the claim may be
+   * gone, and its fence given out again. */
+  void FollowEra();
   /** Whether a recent read of the records has named this daemon as the holder.
    */
   [[nodiscard]] bool IsClaimConfirmed() const;
@@ -82,9 +87,10 @@
    * whether this daemon holds the duties. */
   Task<bool> ConfirmClaim();
   Task<bool> RecheckClaim();
-  /** Makes one call to the cloud, which is sent only while IsClaimConfirmed.
-   * \return its status, 0 without a response. */
-  Task<unsigned> CallCloud(HttpRequest aRequest);
+  /** Makes one call to the cloud, which is sent only while this daemon holds
+   * the duties under that fence and IsClaimConfirmed. \return its status, 0
+   * without a response. */
+  Task<unsigned> CallCloud(HttpRequest aRequest, FencingToken aFence);
   void StepDown(const std::string& aReason);
   [[nodiscard]] bool HoldsDuties() const;
   /** Whether the latest claim is this daemon's own, such as one of an earlier
@@ -108,7 +114,7 @@
   bool holderSeen = false;         // some daemon has held the duties
   TimePoint holderReportedAt; // when another daemon was last reported as holder
   std::size_t pendingOrders = 0; // orders without a response yet
-  Position holderLogEnd;         // end of the records as the holder reported it
+  StorePosition holderLogEnd;    // end of the records as the holder reported it
   TimePoint claimTriedAt;        // the last claim attempt
   TimePoint nextPlanAt;          // when orders are planned next
   std::map<ServiceId, RecentMax> peakDemand; // engines required
@@ -117,7 +123,8 @@
   std::set<Position>
     reportedDelays; // positions of rollout orders reported as delayed
   std::set<std::uint64_t>
-    acceptedReports; // windows whose reports the cloud accepted
+    acceptedReports;          // windows whose reports the cloud accepted
+  bool heldBeforeEra = false; // it held the duties when the era changed
 };
 
 } // namespace toucanshed
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 Task<unsigned>
-DutyRunner::CallCloud(HttpRequest aRequest)
+DutyRunner::CallCloud(HttpRequest aRequest, FencingToken aFence)
 {
   const CallTimeouts timeouts{ kCloudConnectTimeout,
                                kCloudCallTimeout,
@@ -41,8 +41,9 @@
   // A holder that is suspended between its record and its call wakes up with a
   // call that another holder has superseded. Sending it would undo that
   // holder's order, so the claim is checked again just before the send.
-  PreSendCheck maySend = [this] {
-    return this->HoldsDuties() && this->IsClaimConfirmed();
+  PreSendCheck maySend = [this, aFence] {
+    return this->HoldsDuties() && this->state.dutyFence == aFence &&
+           this->IsClaimConfirmed();
   };
   auto response = co_await Fetch(this->state.pool.First(),
                                  *this->state.settings.cloud,
@@ -157,9 +158,11 @@
   for (const auto& entry : this->dutyLog.UsageReports().at(aWindow).counts()) {
     recorded[TeamId{ entry.team() }] = entry.count();
   }
-  const Position fence = this->state.dutyFence;
-  const unsigned status = co_await this->CallCloud(this->state.wire.cloud.usage(
-    this->state.settings.id, fence, aWindow, recorded));
+  const FencingToken fence = this->state.dutyFence;
+  const unsigned status = co_await this->CallCloud(
+    this->state.wire.cloud.usage(
+      this->state.settings.id, fence, aWindow, recorded),
+    fence);
   this->state.log.Emit(Event("usage.reported")
                          .With("window", aWindow)
                          .With("status", status)
@@ -256,14 +259,15 @@
 }
 
 Task<void>
-DutyRunner::SendOrder(GroupTarget aOrder, Position aFence, double aRequired)
+DutyRunner::SendOrder(GroupTarget aOrder, FencingToken aFence, double aRequired)
 {
   const EngineGroup& group = aOrder.group;
   const ScaleOrder order{
     group.service, group.zone, aOrder.desired, group.reclaimable
   };
   const unsigned status = co_await this->CallCloud(
-    this->state.wire.cloud.scale(this->state.settings.id, aFence, order));
+    this->state.wire.cloud.scale(this->state.settings.id, aFence, order),
+    aFence);
   --this->pendingOrders;
   this->state.log.Emit(
     Event("engines.ordered")
--- a/src/serve/OperatorRecords.cpp
+++ b/src/serve/OperatorRecords.cpp
@@ -84,12 +84,12 @@
 void
 RecordDomainDrain(ServingState& aState,
                   const ZoneId& aZone,
-                  Position aPosition,
+                  StorePosition aPosition,
                   bool aBegins)
 {
   aState.log.Emit(Event(aBegins ? "domain.drain_began" : "domain.drain_ended")
                     .With("zone", aZone)
-                    .With("position", aPosition.value));
+                    .With("position", aPosition.offset));
   if (aBegins) {
     return;
   }
@@ -106,7 +106,7 @@
   auto parsed = aState.wire.records.catalog(*aRecord.value);
   if (!parsed) {
     aState.log.Emit(Event("catalog.unreadable")
-                      .With("position", aRecord.position.value)
+                      .With("position", aRecord.position.offset)
                       .With("reason", parsed.error().message));
     return;
   }
@@ -124,7 +124,7 @@
   aState.catalog = std::make_shared<const Catalog>(std::move(*parsed));
   aState.log.Emit(Event("catalog.in_force")
                     .With("version", aState.catalog->version)
-                    .With("position", aRecord.position.value)
+                    .With("position", aRecord.position.offset)
                     .With("routes", aState.catalog->routes.size())
                     .With("teams", aState.catalog->teams.size()));
 }
@@ -168,7 +168,8 @@
       Event("move.unreadable").With("reason", order.error().message));
     return;
   }
-  order->position = aRecord.position;
+  order->position = Position{ Pack(aRecord.position) };
+  order->record = aRecord.position;
   aState.rollouts.Start(*order, ServingState::Now());
   aState.log.Emit(Event("move.ordered")
                     .With("service", order->service)
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -24,6 +24,9 @@
  * removed. */
 constexpr Millis kMembersSyncInterval = PeerTable::kPeerRetention;
 constexpr Millis kMembersRetryInterval{ 500 };
+/** Spreads the writes of entries in a new era over more time the more daemons
+ * there are. */
+constexpr std::uint64_t kMembersJitterMsPerDaemon = 10;
 /** Larger than any heartbeat with a hundred back ends. */
 constexpr std::size_t kMaxDatagramBytes = 60000;
 /** Evidence is sent in datagrams of about this size, so that with the entry
@@ -91,6 +94,13 @@
       this->state.pool.First().Spawn(this->SendRateLimits());
     }
   };
+  this->state.sendStoreEra = [this] {
+    serving::Datagram datagram;
+    serving::StoreEraReport& report = *datagram.mutable_store_era();
+    report.set_id(this->state.settings.id.value);
+    report.set_era(this->state.storeEra.value_or(StoreEra{}).value);
+    this->SendDatagram(datagram, this->state.peers.Addresses());
+  };
   this->state.sendEndedRollouts = [this] {
     serving::Datagram datagram;
     *datagram.mutable_ended_rollouts() = MakeEndedRolloutReport(this->state);
@@ -193,6 +203,10 @@
     this->state.peers.ReceiveReach(aDatagram.reach());
   }
   this->HandleEndedRollouts(aDatagram.ended_rollouts().rollouts());
+  if (aDatagram.has_store_era()) {
+    const serving::StoreEraReport& report = aDatagram.store_era();
+    ObserveStoreEra(this->state, StoreEra{ report.era() }, report.id());
+  }
   if (aDatagram.has_store()) {
     ApplyStoreReadReport(this->state, aDatagram.store());
   }
@@ -237,6 +251,10 @@
     return;
   }
   this->state.limitShares.RecordHeartbeat(DaemonId{ aHeartbeat.id() }, now);
+  if (aHeartbeat.has_store_era()) {
+    ObserveStoreEra(
+      this->state, StoreEra{ aHeartbeat.store_era() }, aHeartbeat.id());
+  }
   for (const serving::RateLimitState& limit : aHeartbeat.limits()) {
     this->HandleRateLimit(limit, aHeartbeat.id());
   }
@@ -497,13 +515,14 @@
   ownMember.set_address(PeerAddress(this->state));
   const std::string record = this->state.wire.store.keyedRecord(
     this->state.settings.id.value, ownMember.SerializeAsString());
-  bool registered = false;
+  std::optional<StoreEra> registeredIn;
   bool quotasRequested = false;
   while (true) {
-    if (!registered) {
+    if (!this->IsRegistered(registeredIn)) {
       const auto appended =
         co_await AppendToStore(this->state, StoreTopic::eMembers, record);
-      registered = appended.has_value();
+      registeredIn =
+        appended ? std::optional<StoreEra>(appended->era) : std::nullopt;
     }
     const auto members = co_await ReadLatest(this->state, StoreTopic::eMembers);
     if (members) {
@@ -529,9 +548,24 @@
         this->RequestQuotas();
       }
     }
-    co_await Sleep(registered && members ? kMembersSyncInterval
-                                         : kMembersRetryInterval);
+    if (!members || !this->IsRegistered(registeredIn)) {
+      co_await Sleep(kMembersRetryInterval);
+      continue;
+    }
+    const TimePoint next = ServingState::Now() + kMembersSyncInterval;
+    while (ServingState::Now() < next && this->IsRegistered(registeredIn)) {
+      co_await Sleep(kMembersRetryInterval);
+    }
+    // In a new era all daemons write their entries again.
+    co_await Sleep(Millis(this->state.random.NextBelow(
+      1 + kMembersJitterMsPerDaemon * this->state.DaemonCount())));
   }
 }
 
+bool
+PeerMessenger::IsRegistered(std::optional<StoreEra> aIn) const
+{
+  return aIn && this->state.storeEra.value_or(*aIn) == *aIn;
+}
+
 } // namespace toucanshed
--- a/src/serve/PeerMessenger.h
+++ b/src/serve/PeerMessenger.h
@@ -6,12 +6,14 @@
 #include "DatagramCounts.h"
 #include "PermitClient.h"
 #include "base/Result.h"
+#include "base/StorePosition.h"
 #include "base/Types.h"
 #include "edge/Task.h"
 #include "serving.pb.h"
 
 #include <algorithm>
 #include <boost/asio/ip/udp.hpp>
+#include <optional>
 
 namespace toucanshed {
 
@@ -79,6 +81,9 @@
   /** Writes this daemon's address to the store and reads those of the others.
    */
   Task<void> SyncMembers();
+  /** Whether this daemon's address was written in the store's present era.
+   * \param aIn the era in which it was written; nothing: in none */
+  [[nodiscard]] bool IsRegistered(std::optional<StoreEra> aIn) const;
   /** Time to the next heartbeat. */
   Millis NextInterval();
   void SendDatagram(const serving::Datagram& aDatagram,
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -128,13 +128,13 @@
   aReport.set_list_read(true);
   aReport.set_list_age_ms(static_cast<std::uint64_t>(aAge.count()));
   aReport.set_list_digest(aState.backends.Digest());
-  aReport.set_list_end(aState.listEnd.value);
+  aReport.set_list_end(Pack(aState.listEnd));
   AddColdBackends(aState, aReport);
   for (const ListChange& change :
        aState.listRevisions.ChangesToReport(ServingState::Now())) {
     auto* record = aReport.add_news();
     record->set_key(change.key);
-    record->set_position(change.position.value);
+    record->set_position(Pack(change.position));
     record->set_gone(!change.value.has_value());
     record->set_leaving(change.leaving);
     // A reclaim of a failure domain changes tens of entries at once. Without
@@ -247,7 +247,10 @@
   heartbeat.set_engines_lost(aState.engineReach.IsCut());
   heartbeat.set_in_progress(static_cast<std::uint32_t>(aState.inProgress));
   heartbeat.set_duty_fence(aState.dutyFence.value);
-  heartbeat.set_duty_end(aState.dutyLogEnd.value);
+  heartbeat.set_duty_end(Pack(aState.dutyLogEnd));
+  if (aState.storeEra) {
+    heartbeat.set_store_era(aState.storeEra->value);
+  }
   if (aState.catalog != nullptr) {
     heartbeat.set_catalog_version(aState.catalog->version);
   }
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -105,9 +105,12 @@
   ListRevisions listRevisions;
   TopicFreshness listFreshness;
   TopicFreshness operatorFreshness;
-  Position operatorEnd; // end of the operators' topic, as read here
+  /** The store's latest era that is known here; nothing before the first. */
+  std::optional<StoreEra> storeEra;
+  TimePoint storeEraSince;   // when it replaced another one here; 0: never
+  StorePosition operatorEnd; // end of the operators' topic, as read here
   /** The list here is the one of this position in its topic; 0: unknown. */
-  Position listEnd;
+  StorePosition listEnd;
   std::map<ServiceId, Placer> placers;
   PrefixCacheIndex prefixCacheIndex;
   WindowedRetryBudget retries;
@@ -131,6 +134,8 @@
   SendGate sendGate;
   EngineReach engineReach;
   RelayChoice relayChoice;
+  /** Reports the store's era to the other daemons at once. */
+  std::function<void()> sendStoreEra = [] {};
   /** Reports to the other daemons at once how rollouts ended. */
   std::function<void()> sendEndedRollouts = [] {};
   /** Schedules a report of this daemon's evidence about rollouts' targets, for
@@ -142,8 +147,8 @@
     [](InstanceId) -> Task<FailureCause> { co_return FailureCause::eEngine; };
   /** Reports to the other daemons at once whether this one reaches engines. */
   std::function<void()> sendReach = [] {};
-  Position dutyFence; // of the duties if this daemon holds them; 0: it does not
-  Position dutyLogEnd; // end of the duty records, as read here
+  FencingToken dutyFence;   // of the duties; 0: this daemon does not hold them
+  StorePosition dutyLogEnd; // end of the duty records, as read here
   std::optional<TimePoint> storeLostSince; // set while it is unreachable
   StoreOutage storeOutage;
   /** Notifies the other daemons of a prompt that was just sent: the tokens to
--- a/src/serve/StoreClient.cpp
+++ b/src/serve/StoreClient.cpp
@@ -68,6 +68,29 @@
   return "unknown";
 }
 
+void
+ObserveStoreEra(ServingState& aState, StoreEra aEra, const std::string& aFrom)
+{
+  const auto known = aState.storeEra;
+  if (known && aEra <= *known) {
+    return;
+  }
+  aState.storeEra = aEra;
+  if (!known) {
+    return;
+  }
+  aState.storeEraSince = ServingState::Now();
+  aState.metrics.Count("toucanshed_store_eras_total");
+  aState.log.Emit(Event("store.era")
+                    .With("old", known->value)
+                    .With("new", aEra.value)
+                    .With("from", aFrom)
+                    .With("operator_end", aState.operatorEnd.offset)
+                    .With("list_end", aState.listEnd.offset)
+                    .With("duties_end", aState.dutyLogEnd.offset));
+  aState.sendStoreEra();
+}
+
 Task<Result<HttpResponse>>
 CallStore(ServingState& aState,
           StoreCallLabels aLabels,
@@ -79,6 +102,7 @@
                                kStoreCallTimeout };
   aState.metrics.Count("toucanshed_store_calls_total", FormatLabels(aLabels));
   const TimePoint calledAt = ServingState::Now();
+  const auto calledIn = aState.storeEra;
   auto response = co_await Fetch(
     aState.pool.First(), *aState.settings.store, std::move(aRequest), timeouts);
   if (!response) {
@@ -91,14 +115,22 @@
   } else {
     RecordStoreReached(aState, calledAt);
   }
+  if (const auto era = aState.wire.store.era(*response)) {
+    const bool isEarlier = aState.storeEra && *era < *aState.storeEra;
+    ObserveStoreEra(aState, *era, "store");
+    if (isEarlier || (calledIn && *calledIn != *era)) {
+      co_return Fail(ErrorCode::eConflict,
+                     "the store's era changed during the call");
+    }
+  }
   co_return std::move(*response);
 }
 
-Task<Result<Position>>
+Task<Result<StorePosition>>
 AppendToStore(ServingState& aState,
               StoreTopic aTopic,
               std::string aRecord,
-              std::optional<Position> aExpectedEnd)
+              std::optional<StorePosition> aExpectedEnd)
 {
   HttpRequest request = aState.wire.store.append(aTopic, aRecord, aExpectedEnd);
   const StoreCallLabels labels{ "append", aTopic };
@@ -130,6 +162,8 @@
       // Pages are read one after the other: a change made meanwhile has a
       // position after the end that the first page states.
       snapshot.next = page->next;
+    } else if (page->next.era != snapshot.next.era) {
+      co_return Fail(ErrorCode::eConflict, "the store's era changed meanwhile");
     }
     more = page->more && !page->records.empty();
     for (KeyedRecord& record : page->records) {
--- a/src/serve/StoreClient.h
+++ b/src/serve/StoreClient.h
@@ -27,8 +27,15 @@
   StoreTopic topic = StoreTopic::eOperator;
 };
 
+/** Records the store's era, as stated by a response or by another daemon, and
+ * reports a new one to the others at once. An earlier one changes nothing.
+ * \param aFrom who stated it, for the log */
+void
+ObserveStoreEra(ServingState& aState, StoreEra aEra, const std::string& aFrom);
+
 /** Makes one call. If the response is lost, the call may or may not have taken
- * effect; the caller finds out by reading.
+ * effect; the caller finds out by reading. The same holds when the response is
+ * of another era than the one in which the call began (eConflict).
  * \param aWait time the store itself may hold the call.
  * Precondition: the settings name a store. */
 Task<Result<HttpResponse>>
@@ -40,11 +47,11 @@
 /** Appends a record.
  * \param aExpectedEnd append only if the topic ends there; eConflict if it does
  *   not. */
-Task<Result<Position>>
+Task<Result<StorePosition>>
 AppendToStore(ServingState& aState,
               StoreTopic aTopic,
               std::string aRecord,
-              std::optional<Position> aExpectedEnd = std::nullopt);
+              std::optional<StorePosition> aExpectedEnd = std::nullopt);
 
 /** Reads the latest records of all keys of a keyed topic; next is where to
  * continue reading. */
--- a/src/serve/StoreWatcher.cpp
+++ b/src/serve/StoreWatcher.cpp
@@ -55,13 +55,13 @@
    * daemon's reads or from others' reports; 0: unknown. A daemon that has to
    * read itself goes on from there. The whole list of thousands of back ends is
    * a megabyte, which hundreds of daemons would fetch at the same time. */
-  std::function<Position()> currentAt;
+  std::function<StorePosition()> currentAt;
   TopicFreshness* freshness = nullptr;
   /** Applies the latest records of all keys, as of when the store was asked. */
   std::function<void(const TopicPage&, TimePoint aAsOf)> replace;
   std::function<void(const KeyedRecord&, TimePoint aAsOf)> apply;
   /** Records that the topic was read up to aEnd. */
-  std::function<void(Position aEnd, TimePoint aAsOf)> recordRead;
+  std::function<void(StorePosition aEnd, TimePoint aAsOf)> recordRead;
   /** Fills in what to report to the other daemons. */
   std::function<void(serving::StoreReadReport&, Millis aAge)> fillReport;
 };
@@ -69,9 +69,9 @@
 /** The result of a read. */
 struct TopicRead
 {
-  std::optional<Position> next;  // nothing: unknown where to continue
-  std::optional<TimePoint> asOf; // nothing: the call gave no records
-  bool more = false;             // there are more records to read
+  std::optional<StorePosition> next; // nothing: unknown where to continue
+  std::optional<TimePoint> asOf;     // nothing: the call gave no records
+  bool more = false;                 // there are more records to read
 };
 
 /** Reads the latest records of all keys. */
@@ -92,7 +92,7 @@
 Task<TopicRead>
 ReadNextPage(ServingState& aState,
              const TopicSubscription& aSubscription,
-             Position aFrom,
+             StorePosition aFrom,
              Millis aWait)
 {
   const TimePoint startedAt = ServingState::Now();
@@ -101,13 +101,14 @@
   const StoreCallLabels labels{ "read", aSubscription.topic };
   auto response = co_await CallStore(aState, labels, std::move(request), aWait);
   if (!response) {
-    co_return TopicRead{ aFrom, std::nullopt };
+    const bool otherEra = response.error().code == ErrorCode::eConflict;
+    co_return otherEra ? TopicRead{} : TopicRead{ aFrom, std::nullopt };
   }
   auto page = aState.wire.store.readPage(*response, aFrom);
   if (!page && page.error().code == ErrorCode::eConflict) {
     aState.log.Emit(Event("store.history_dropped")
                       .With("topic", NameOf(aSubscription.topic))
-                      .With("position", aFrom.value));
+                      .With("position", aFrom.offset));
     co_return TopicRead{};
   }
   const bool noProgress = page && page->more && page->records.empty();
@@ -128,7 +129,7 @@
 Task<TopicRead>
 ReadUpdates(ServingState& aState,
             const TopicSubscription& aSubscription,
-            std::optional<Position> aFrom,
+            std::optional<StorePosition> aFrom,
             Millis aWait)
 {
   if (!aFrom) {
@@ -153,6 +154,9 @@
   const TimePoint now = ServingState::Now();
   serving::StoreReadReport report;
   report.set_id(aState.settings.id.value);
+  if (aState.storeEra) {
+    report.set_era(aState.storeEra->value);
+  }
   aSubscription.fillReport(report, now - aAsOf);
   aState.sendStoreRead(report);
 }
@@ -175,7 +179,7 @@
 Task<void>
 WatchTopic(ServingState& aState, TopicSubscription aSubscription)
 {
-  std::optional<Position> next;
+  std::optional<StorePosition> next;
   unsigned updatesInRow = 0; // own reads since the last report that agreed
   ReadBackoff retry;
   while (true) {
@@ -198,7 +202,11 @@
                            std::string("topic=\"") +
                              NameOf(aSubscription.topic) + "\"");
     }
-    const Position known = aSubscription.currentAt();
+    const bool otherEra = next && next->era != aState.storeEra;
+    if (otherEra) {
+      next.reset(); // other records may have its offset now
+    }
+    const StorePosition known = aSubscription.currentAt();
     if (next && *next < known) {
       next = known;
     }
@@ -280,13 +288,13 @@
   subscription.replace = [&aState](const TopicPage& aPage, TimePoint) {
     ReplaceOperatorRecords(aState, aPage);
   };
-  subscription.currentAt = [] { return Position{}; };
-  subscription.recordRead = [&aState](Position aEnd, TimePoint) {
+  subscription.currentAt = [] { return StorePosition{}; };
+  subscription.recordRead = [&aState](StorePosition aEnd, TimePoint) {
     aState.operatorEnd = aEnd;
   };
   subscription.fillReport = [&aState](serving::StoreReadReport& aReport,
                                       Millis aAge) {
-    aReport.set_operator_end(aState.operatorEnd.value);
+    aReport.set_operator_end(Pack(aState.operatorEnd));
     aReport.set_operator_age_ms(static_cast<std::uint64_t>(aAge.count()));
   };
   co_await WatchTopic(aState, std::move(subscription));
@@ -311,7 +319,7 @@
       aState, aPage, BackendListRead{ aState.settings.id, aAsOf });
   };
   subscription.currentAt = [&aState] { return aState.listEnd; };
-  subscription.recordRead = [&aState](Position aEnd, TimePoint aAsOf) {
+  subscription.recordRead = [&aState](StorePosition aEnd, TimePoint aAsOf) {
     aState.listEnd = std::max(aState.listEnd, aEnd);
     aState.warmupLimits.RecordRead({}, aAsOf);
   };
@@ -327,10 +335,17 @@
                      const serving::StoreReadReport& aReport)
 {
   const TimePoint now = ServingState::Now();
+  if (aReport.has_era()) {
+    const StoreEra era{ aReport.era() };
+    if (aState.storeEra && era < *aState.storeEra) {
+      return; // of a history that has been replaced
+    }
+    ObserveStoreEra(aState, era, aReport.id());
+  }
   if (aReport.operator_end() > 0) {
     const auto age = static_cast<std::int64_t>(aReport.operator_age_ms());
     const TimePoint asOf = now - Millis(age);
-    const bool isCurrent = aState.operatorEnd.value >= aReport.operator_end();
+    const bool isCurrent = aState.operatorEnd >= Unpack(aReport.operator_end());
     aState.storeOutage.RecordSuccess(asOf);
     aState.operatorFreshness.RecordPeerRead(asOf, isCurrent);
   }
@@ -343,12 +358,12 @@
   for (const serving::BackendListRecord& entry : aReport.news()) {
     if (entry.leaving()) {
       ApplyLeaving(
-        aState, InstanceId{ entry.key() }, Position{ entry.position() }, read);
+        aState, InstanceId{ entry.key() }, Unpack(entry.position()), read);
       continue;
     }
     KeyedRecord record;
     record.key = entry.key();
-    record.position = Position{ entry.position() };
+    record.position = Unpack(entry.position());
     if (!entry.gone()) {
       record.value = entry.value();
     }
@@ -359,7 +374,7 @@
   }
   const bool isCurrent = aState.backends.Digest() == aReport.list_digest();
   if (isCurrent) {
-    aState.listEnd = std::max(aState.listEnd, Position{ aReport.list_end() });
+    aState.listEnd = std::max(aState.listEnd, Unpack(aReport.list_end()));
   } else {
     aState.metrics.Count("toucanshed_list_differs_total");
   }
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -8,6 +8,7 @@
 #include "ServingRequest.h"
 #include "base/RequestRate.h"
 #include "base/Result.h"
+#include "base/StorePosition.h"
 #include "coord/BackendTable.h"
 #include "coord/RolloutOrder.h"
 
@@ -84,14 +85,14 @@
 {
   std::string key;
   std::optional<std::string> value; // nothing: the key is removed
-  Position position;
+  StorePosition position;
 };
 
 /** A page of a topic: its records and the position to continue from. */
 struct TopicPage
 {
   std::vector<KeyedRecord> records;
-  Position next;
+  StorePosition next;
   bool more = false;
 };
 
@@ -99,8 +100,8 @@
 struct LogPage
 {
   std::vector<std::string> records;
-  Position first; // position of records[0]
-  Position end;
+  StorePosition first; // position of records[0]
+  StorePosition end;
 };
 
 /** The store's topics. */
@@ -114,29 +115,35 @@
 };
 
 /** The store's protocol. The caller of these hooks sends the requests and
- * awaits the responses. */
+ * awaits the responses. Positions from a response are of the era that it
+ * states. */
 struct StoreFormat
 {
-  std::function<HttpRequest(StoreTopic, Position aFrom, Millis aWait)> read;
+  /** The era that a response states; nothing when it states none. */
+  std::function<std::optional<StoreEra>(const HttpResponse&)> era;
+  std::function<HttpRequest(StoreTopic, StorePosition aFrom, Millis aWait)>
+    read;
   std::function<HttpRequest(StoreTopic, const std::string& aAfterKey)>
     readLatest;
   /** \param aExpectedEnd append only if the topic ends there. */
   std::function<HttpRequest(StoreTopic,
                             const std::string& aRecord,
-                            std::optional<Position> aExpectedEnd)>
+                            std::optional<StorePosition> aExpectedEnd)>
     append;
   std::function<std::string(const std::string& aKey, const std::string& aValue)>
     keyedRecord;
-  std::function<Result<TopicPage>(const HttpResponse&, Position aFrom)>
+  std::function<Result<TopicPage>(const HttpResponse&, StorePosition aFrom)>
     readPage;
   std::function<Result<TopicPage>(const HttpResponse&)> latestPage;
-  std::function<Result<LogPage>(const HttpResponse&, Position aFrom)> logPage;
+  std::function<Result<LogPage>(const HttpResponse&, StorePosition aFrom)>
+    logPage;
   /** The first retained record, from a response that says that the requested
    * ones are dropped; nothing when it does not say. */
-  std::function<std::optional<Position>(const HttpResponse&)> firstRetained;
+  std::function<std::optional<StorePosition>(const HttpResponse&)>
+    firstRetained;
   /** The position of the appended record, or where the topic ends if it was not
    * appended because of the condition (eConflict). */
-  std::function<Result<Position>(const HttpResponse&)> appendedPosition;
+  std::function<Result<StorePosition>(const HttpResponse&)> appendedPosition;
 };
 
 /** How a rollout order was decided, as stated by a status record. */
@@ -184,12 +191,12 @@
 struct CloudFormat
 {
   std::function<HttpRequest(const DaemonId&,
-                            Position aFence,
+                            FencingToken aFence,
                             std::uint64_t aWindow,
                             const std::map<TeamId, std::uint64_t>&)>
     usage;
   std::function<
-    HttpRequest(const DaemonId&, Position aFence, const ScaleOrder&)>
+    HttpRequest(const DaemonId&, FencingToken aFence, const ScaleOrder&)>
     scale;
 };
 
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -43,7 +43,7 @@
   /** Appends get no response and are executed by ExecuteHeldAppends. */
   bool holdAppends = false;
   void ExecuteHeldAppends();
-  std::uint64_t era = 1;                  // stated in each response
+  std::uint64_t era = 0;                  // stated in each response
   std::size_t maxRecordsPerRead = 100000; // per response to a read
   std::size_t reads = 0;
   std::size_t appends = 0;
--- a/test/correctness/StoreRelayTest.cpp
+++ b/test/correctness/StoreRelayTest.cpp
@@ -126,22 +126,22 @@
   // An engine left while a datagram that listed it was in transit. If it were
   // listed again, it would get requests after its end.
   ListRevisions copy;
-  CHECK(copy.TryAdvance("e1", Position{ 7 }));
-  CHECK(copy.TryAdvance("e1", Position{ 9 }));
-  CHECK_FALSE(copy.TryAdvance("e1", Position{ 8 }));
-  copy.RecordFullRead(Position{ 20 });
-  CHECK_FALSE(copy.TryAdvance("e2", Position{ 19 }));
-  CHECK(copy.TryAdvance("e2", Position{ 20 }));
+  CHECK(copy.TryAdvance("e1", StorePosition{ 7 }));
+  CHECK(copy.TryAdvance("e1", StorePosition{ 9 }));
+  CHECK_FALSE(copy.TryAdvance("e1", StorePosition{ 8 }));
+  copy.RecordFullRead(StorePosition{ 20 });
+  CHECK_FALSE(copy.TryAdvance("e2", StorePosition{ 19 }));
+  CHECK(copy.TryAdvance("e2", StorePosition{ 20 }));
 }
 
 // The full read began before a removal that a peer has already reported.
 TEST_CASE("an older full read does not undo a peer's record")
 {
   ListRevisions copy;
-  CHECK(copy.TryAdvance("e1", Position{ 22 }));
-  copy.RecordFullRead(Position{ 20 });
-  CHECK_FALSE(copy.TryAdvance("e1", Position{ 21 }));
-  CHECK(copy.TryAdvance("e2", Position{ 21 }));
+  CHECK(copy.TryAdvance("e1", StorePosition{ 22 }));
+  copy.RecordFullRead(StorePosition{ 20 });
+  CHECK_FALSE(copy.TryAdvance("e1", StorePosition{ 21 }));
+  CHECK(copy.TryAdvance("e2", StorePosition{ 21 }));
 }
 
 TEST_CASE("changes are reported for a while, the latest first")
@@ -150,7 +150,7 @@
   for (std::uint64_t i = 0; i < ListRevisions::kMaxReported + 5; ++i) {
     ListChange change;
     change.key = "e" + std::to_string(i);
-    change.position = Position{ i };
+    change.position = StorePosition{ i };
     copy.AddChange(std::move(change));
   }
   CHECK(copy.ChangesToReport(TimePoint{ 100 }).size() ==
--- a/test/failure/DomainDrainTest.cpp
+++ b/test/failure/DomainDrainTest.cpp
@@ -125,7 +125,7 @@
     if (drained.Empty()) {
       drained = state.backends.Find(aId)->entry.zone;
       state.domainDrains.Apply(
-        drained, Position{ 9 }, true, ServingState::Now());
+        drained, StorePosition{ 9 }, true, ServingState::Now());
     }
   };
   CallerResponse response;
@@ -178,12 +178,12 @@
   const ZoneId zone{ "zone-1" };
   const TimePoint now{ 1000 };
   DomainDrains drains;
-  CHECK(drains.Apply(zone, Position{ 5 }, true, now));
-  CHECK_FALSE(drains.Apply(zone, Position{ 4 }, false, now));
+  CHECK(drains.Apply(zone, StorePosition{ 5 }, true, now));
+  CHECK_FALSE(drains.Apply(zone, StorePosition{ 4 }, false, now));
   CHECK(drains.IsDrained(zone));
-  CHECK(drains.EndUnlisted({}, Position{ 5 }, now).empty());
-  CHECK(drains.EndUnlisted({}, Position{ 8 }, now).size() == 1);
-  CHECK_FALSE(drains.Apply(zone, Position{ 7 }, true, now));
+  CHECK(drains.EndUnlisted({}, StorePosition{ 5 }, now).empty());
+  CHECK(drains.EndUnlisted({}, StorePosition{ 8 }, now).size() == 1);
+  CHECK_FALSE(drains.Apply(zone, StorePosition{ 7 }, true, now));
   CHECK_FALSE(drains.IsDrained(zone));
 }
 
--- a/test/failure/DutyTest.cpp
+++ b/test/failure/DutyTest.cpp
@@ -258,7 +258,7 @@
   // holder has other counts; it must send what was recorded, since the first
   // call may have arrived.
   DutyLog log;
-  log.SkipTo(Position{ 40 });
+  log.SkipTo(StorePosition{ 40 });
   serving::DutyRecord recorded;
   recorded.set_holder("gone");
   recorded.set_fence(8);
@@ -270,7 +270,7 @@
   REQUIRE(log.UsageReports().contains(7));
   CHECK(log.UsageReports().at(7).counts(0).count() == 11);
   CHECK(log.Claim()->holder == DaemonId{ "gone" });
-  CHECK(log.Claim()->fence == Position{ 8 });
+  CHECK(log.Claim()->fence == FencingToken{ 8 });
 
   // A record under a claim older than the latest one is ignored.
   serving::DutyRecord claim;
--- a/test/failure/EngineNoticeTest.cpp
+++ b/test/failure/EngineNoticeTest.cpp
@@ -325,9 +325,10 @@
   const BackendListRead read{ state.settings.id, ServingState::Now() };
   const std::string entry = harness.EntryOf("e1");
   ApplyBackendRecord(
-    state, KeyedRecord{ "e1", std::nullopt, Position{ 5 } }, read);
+    state, KeyedRecord{ "e1", std::nullopt, StorePosition{ 5 } }, read);
   CHECK(state.backends.Find(id) == nullptr);
-  ApplyBackendRecord(state, KeyedRecord{ "e1", entry, Position{ 6 } }, read);
+  ApplyBackendRecord(
+    state, KeyedRecord{ "e1", entry, StorePosition{ 6 } }, read);
   REQUIRE(state.backends.Find(id) != nullptr);
   CHECK(state.engineLimits.RateOf(id, ServingState::Now()).has_value());
   state.engineLimits.RecordIncarnation(id, 2); // it restarts
