Recorded usage reports are remembered by all daemons

Cause: a holder records a report before it sends it, and the next holder sends what is recorded. The store came back from a copy without the record, so the next holder added up the counts anew, from what it had heard by then.

Class: a record is taken to be known to all for ever.

Change: the holder tells all daemons before it calls the cloud, and who knows tells those that may be the next holder with each heartbeat. A holder repeats known counts and records them again in the new era.

Ways not taken: asking the cloud (nothing can be read back); a second record in another topic (it is lost with the first).

--- a/src/serve/DutyRunner.cpp
+++ b/src/serve/DutyRunner.cpp
@@ -224,6 +224,9 @@
       this->dutyLog.Apply(record, now);
     }
     this->state.dutyLogEnd = this->dutyLog.NextPosition();
+    for (const auto& [window, report] : this->dutyLog.UsageReports()) {
+      this->state.reportedUsage.Remember(report);
+    }
     if (page->records.empty() || this->dutyLog.NextPosition() >= page->end) {
       co_return true;
     }
@@ -259,6 +262,7 @@
   claim.set_holder(this->state.settings.id.value);
   claim.set_life(this->state.incarnation);
   const StorePosition at = this->dutyLog.NextPosition();
+  const bool isFirst = !this->dutyLog.HasCurrentRecords();
   claim.set_era(at.era.value);
   const auto appended = co_await AppendToStore(
     this->state, StoreTopic::eDuties, claim.SerializeAsString(), at);
@@ -269,6 +273,7 @@
   this->dutyLog.Apply(claim, ServingState::Now());
   this->state.dutyLogEnd = this->dutyLog.NextPosition();
   this->state.dutyFence = this->dutyLog.Claim()->fence;
+  this->firstOfEra = isFirst;
   this->acceptedReports.clear();
   this->state.log.Emit(
     Event("duty.claimed").With("fence", this->state.dutyFence.value));
--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -49,6 +49,14 @@
    * been waited for long enough. */
   bool IsReportComplete(std::uint64_t aWindow, Millis aAge);
   Task<void> SendReport(std::uint64_t aWindow);
+  /** Records the report of a window, the one that is known or a new one.
+   * \return whether it is recorded. */
+  Task<bool> RecordReport(std::uint64_t aWindow);
+  /** Whether a window may be added up: no report of it can have been sent whose
+   * record the store has lost, or another daemon would have told of it. */
+  bool MayAddUp(std::uint64_t aWindow);
+  /** Adds up the counts of all daemons. */
+  serving::UsageReport AddUp(std::uint64_t aWindow) const;
   /** Updates the planner's view of the engines, whether or not this daemon
    * holds the duties. */
   void UpdatePlanner();
@@ -123,7 +131,9 @@
   std::set<Position>
     reportedDelays; // positions of rollout orders reported as delayed
   std::set<std::uint64_t>
-    acceptedReports;          // windows whose reports the cloud accepted
+    acceptedReports; // windows whose reports the cloud accepted
+  std::set<std::uint64_t> withheldReports; // windows that are not reported
+  bool firstOfEra = false;    // no record of this era precedes its claim
   bool heldBeforeEra = false; // it held the duties when the era changed
 };
 
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -6,6 +6,7 @@
 #include "EngineDemand.h"
 #include "ServingState.h"
 #include "StoreClient.h"
+#include "base/Hash.h"
 #include "edge/HttpExchange.h"
 #include "edge/Worker.h"
 
@@ -106,8 +107,10 @@
 bool
 DutyRunner::IsReportComplete(std::uint64_t aWindow, Millis aAge)
 {
-  if (this->dutyLog.UsageReports().contains(aWindow)) {
-    return true; // its counts are recorded already
+  const bool isDecided = this->dutyLog.UsageReports().contains(aWindow) ||
+                         this->state.reportedUsage.Find(aWindow) != nullptr;
+  if (isDecided) {
+    return true;
   }
   const auto pending =
     this->state.peers.PendingDaemons(aWindow, ServingState::Now());
@@ -127,46 +130,94 @@
   return waitExceeded;
 }
 
-Task<void>
-DutyRunner::SendReport(std::uint64_t aWindow)
+bool
+DutyRunner::MayAddUp(std::uint64_t aWindow)
 {
-  if (!this->dutyLog.UsageReports().contains(aWindow)) {
-    std::map<TeamId, std::uint64_t> counts = this->state.peers.Usage(aWindow);
-    const auto localCounts = this->state.usage.All().find(aWindow);
-    if (localCounts != this->state.usage.All().end()) {
-      for (const auto& [team, count] : localCounts->second) {
-        counts[team] += count;
-      }
-    }
-    serving::DutyRecord record;
-    record.mutable_usage()->set_window(aWindow);
-    for (const auto& [team, count] : counts) {
-      auto* entry = record.mutable_usage()->add_counts();
-      entry->set_team(team.value);
-      entry->set_count(count);
-    }
-    const bool appended = co_await this->AppendRecord(std::move(record));
-    if (!appended) {
-      co_return;
+  const TimePoint now = ServingState::Now();
+  const Millis age(this->state.ClusterTimeMs() -
+                   this->state.usage.WindowEnd(aWindow) - kReportDelay.count());
+  const UsageHistory history{ this->state.startedAt,
+                              this->state.storeEraSince,
+                              this->firstOfEra };
+  const AddUpDecision decision =
+    ReportedUsage::MayAddUp(history, now - age, now);
+  const bool isNews = decision == AddUpDecision::eNever &&
+                      this->withheldReports.insert(aWindow).second;
+  if (isNews) {
+    this->state.log.Emit(Event("usage.withheld").With("window", aWindow));
+  }
+  return decision == AddUpDecision::eYes;
+}
+
+serving::UsageReport
+DutyRunner::AddUp(std::uint64_t aWindow) const
+{
+  std::map<TeamId, std::uint64_t> counts = this->state.peers.Usage(aWindow);
+  const auto localCounts = this->state.usage.All().find(aWindow);
+  if (localCounts != this->state.usage.All().end()) {
+    for (const auto& [team, count] : localCounts->second) {
+      counts[team] += count;
     }
   }
-  const bool confirmed = co_await this->ConfirmClaim();
-  if (!confirmed) {
+  serving::UsageReport report;
+  report.set_window(aWindow);
+  for (const auto& [team, count] : counts) {
+    auto* entry = report.add_counts();
+    entry->set_team(team.value);
+    entry->set_count(count);
+  }
+  return report;
+}
+
+Task<bool>
+DutyRunner::RecordReport(std::uint64_t aWindow)
+{
+  if (this->dutyLog.UsageReports().contains(aWindow)) {
+    co_return true;
+  }
+  const serving::UsageReport* known = this->state.reportedUsage.Find(aWindow);
+  if (known == nullptr && !this->MayAddUp(aWindow)) {
+    co_return false;
+  }
+  serving::DutyRecord record;
+  *record.mutable_usage() = known != nullptr ? *known : this->AddUp(aWindow);
+  const bool appended = co_await this->AppendRecord(std::move(record));
+  if (appended) {
+    // The others know the counts before the cloud can have them.
+    this->state.reportedUsage.Remember(
+      this->dutyLog.UsageReports().at(aWindow));
+    this->state.sendUsageReports();
+  }
+  co_return appended;
+}
+
+Task<void>
+DutyRunner::SendReport(std::uint64_t aWindow)
+{
+  const bool recorded = co_await this->RecordReport(aWindow);
+  const bool confirmed = recorded && co_await this->ConfirmClaim();
+  if (!confirmed || !this->dutyLog.UsageReports().contains(aWindow)) {
     co_return;
   }
-  std::map<TeamId, std::uint64_t> recorded;
+  std::map<TeamId, std::uint64_t> counts;
+  std::uint64_t hash = 0;
   for (const auto& entry : this->dutyLog.UsageReports().at(aWindow).counts()) {
-    recorded[TeamId{ entry.team() }] = entry.count();
+    counts[TeamId{ entry.team() }] = entry.count();
+    hash ^= Hash64(entry.team(), entry.count());
   }
   const FencingToken fence = this->state.dutyFence;
-  const unsigned status = co_await this->CallCloud(
-    this->state.wire.cloud.usage(
-      this->state.settings.id, fence, aWindow, recorded),
-    fence);
-  this->state.log.Emit(Event("usage.reported")
-                         .With("window", aWindow)
-                         .With("status", status)
-                         .With("fence", fence.value));
+  const unsigned status =
+    co_await this->CallCloud(this->state.wire.cloud.usage(
+                               this->state.settings.id, fence, aWindow, counts),
+                             fence);
+  this->state.log.Emit(
+    Event("usage.reported")
+      .With("window", aWindow)
+      .With("status", status)
+      .With("fence", fence.value)
+      .With("counts", hash)
+      .With("records_end", this->dutyLog.NextPosition().offset)
+      .With("era", this->dutyLog.NextPosition().era.value));
   if (status == kOk) {
     this->acceptedReports.insert(aWindow);
   } else if (status == kConflict) {
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -94,6 +94,12 @@
       this->state.pool.First().Spawn(this->SendRateLimits());
     }
   };
+  this->state.sendUsageReports = [this] {
+    serving::Datagram datagram;
+    *datagram.mutable_usage_reports()->mutable_reports() =
+      MakeReportableLedger(this->state).reported();
+    this->SendDatagram(datagram, this->state.peers.Addresses());
+  };
   this->state.sendStoreEra = [this] {
     serving::Datagram datagram;
     serving::StoreEraReport& report = *datagram.mutable_store_era();
@@ -184,6 +190,12 @@
   if (aDatagram.has_ledger()) {
     this->state.peers.ReceiveLedger(aDatagram.ledger());
   }
+  for (const auto& report : aDatagram.ledger().reported()) {
+    this->state.reportedUsage.Remember(report);
+  }
+  for (const auto& report : aDatagram.usage_reports().reports()) {
+    this->state.reportedUsage.Remember(report);
+  }
   for (const peer::Evidence& evidence : aDatagram.evidence().evidence()) {
     this->state.evidence.Merge(evidence);
   }
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -173,6 +173,11 @@
       AddUsage(aState, window, ledger);
     }
   }
+  for (const auto& [window, report] : aState.reportedUsage.All()) {
+    if (aState.usage.WindowEnd(window) >= reportable) {
+      *ledger.add_reported() = report;
+    }
+  }
   return ledger;
 }
 
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -23,6 +23,7 @@
 #include "coord/QuotaExchange.h"
 #include "coord/RateMeter.h"
 #include "coord/RelayChoice.h"
+#include "coord/ReportedUsage.h"
 #include "coord/Rollouts.h"
 #include "coord/SendGate.h"
 #include "coord/StoreOutage.h"
@@ -117,6 +118,7 @@
   TeamQuotas quotas;
   QuotaExchange quotaExchange;
   UsageWindows usage;
+  ReportedUsage reportedUsage;
   std::map<ServiceId, RateMeter> promptRates; // prompt tokens sent for prefill
   FactSet facts;
   Rollouts rollouts;
@@ -134,6 +136,8 @@
   SendGate sendGate;
   EngineReach engineReach;
   RelayChoice relayChoice;
+  /** Reports recorded usage reports to the other daemons at once. */
+  std::function<void()> sendUsageReports = [] {};
   /** Reports the store's era to the other daemons at once. */
   std::function<void()> sendStoreEra = [] {};
   /** Reports to the other daemons at once how rollouts ended. */
