An older copy of the list brings back no engine that has left

What callers would see: after the store came back from a copy, requests sent to engines that had left, as the copy lists them, and none for two seconds to engines whose entries the copy lacks.

Cause: a later position was a later entry. In a new era each entry of the copy has a later position than all that was known.

Change: an engine counts the renewals of its entry. In a new era an entry of the same incarnation with fewer renewals, or of one that is gone with no more, is the older one and changes nothing (backend.outdated).

--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -29,10 +29,11 @@
   bool leaving = false;
   bool reclaimable = false;
   std::int64_t incarnation = 0; // start time; a restart may keep the id
+  std::uint64_t renewal = 0;    // counts up with each write; 0: not stated
   Millis warmupLeft{ 0 };       // when the entry was written
 
   /** Whether both describe the same usable back end. The rest of the warm-up
-   * changes with each renewal of the entry and does not count. */
+   * and the count of renewals change with each renewal and do not matter. */
   bool operator==(const BackendEntry& aOther) const
   {
     const auto fields = [](const BackendEntry& aEntry) {
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -41,7 +41,8 @@
 RemoveBackend(ServingState& aState,
               const InstanceId& aId,
               StorePosition aPosition,
-              const BackendListRead& aRead)
+              const BackendListRead& aRead,
+              bool aMayBeLost = false)
 {
   const Backend* backend = aState.backends.Find(aId);
   if (backend == nullptr || backend->graceUntil) {
@@ -52,9 +53,13 @@
   // Every entry of this copy was listed when the copy was last confirmed
   // current.
   const TimePoint listed = aState.listFreshness.AsOf().value_or(TimePoint{});
-  aState.backends.Remove(aId, aState.storeOutage.GraceUntil(listed, now));
+  aState.backends.Remove(aId,
+                         aMayBeLost
+                           ? now + StoreOutage::kRelistGrace
+                           : aState.storeOutage.GraceUntil(listed, now));
   const Backend* retained = aState.backends.Find(aId);
   if (retained == nullptr) {
+    aState.entryRenewals.RecordGone(aId);
     aState.warmupLimits.Forget(aId, now);
   } else {
     aState.log.Emit(Event("backend.kept")
@@ -118,6 +123,14 @@
     aState.backends.MarkEntryUnusable(id);
     return used;
   }
+  if (aState.entryRenewals.IsOutdated(*entry, aRecord.position)) {
+    aState.log.Emit(Event("backend.outdated")
+                      .With("backend", id)
+                      .With("position", aRecord.position.offset)
+                      .With("era", aRecord.position.era.value));
+    return false;
+  }
+  aState.entryRenewals.RecordEntry(*entry, aRecord.position);
   const bool unchanged = current != nullptr && current->entry == *entry &&
                          !current->graceUntil.has_value();
   const bool isNew = current == nullptr;
@@ -171,9 +184,12 @@
       missing.push_back(id);
     }
   }
+  // The first snapshot of an era may lack entries that are written again soon.
+  const bool mayBeLost = aPage.next.era > aState.listReadIn;
   for (const InstanceId& id : missing) {
-    RemoveBackend(aState, id, aPage.next, aRead);
+    RemoveBackend(aState, id, aPage.next, aRead, mayBeLost);
   }
+  aState.listReadIn = aPage.next.era;
   aState.listRevisions.RecordFullRead(aPage.next);
   aState.backendsRead = true;
 }
@@ -182,6 +198,7 @@
 DropExpiredBackends(ServingState& aState, TimePoint aNow)
 {
   for (const InstanceId& id : aState.backends.Expire(aNow)) {
+    aState.entryRenewals.RecordGone(id);
     aState.warmupLimits.Forget(id, aNow);
     aState.log.Emit(Event("backend.dropped").With("backend", id));
   }
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -12,6 +12,7 @@
 #include "coord/DomainDrains.h"
 #include "coord/EngineLimits.h"
 #include "coord/EngineReach.h"
+#include "coord/EntryRenewals.h"
 #include "coord/Evidence.h"
 #include "coord/FactSet.h"
 #include "coord/LimitShares.h"
@@ -104,6 +105,8 @@
   BackendTable backends;
   bool backendsRead = false;
   ListRevisions listRevisions;
+  EntryRenewals entryRenewals;
+  StoreEra listReadIn; // era of the latest snapshot of the list
   TopicFreshness listFreshness;
   TopicFreshness operatorFreshness;
   /** The store's latest era that is known here; nothing before the first. */
--- a/test/failure/StoreRestoreTest.cpp
+++ b/test/failure/StoreRestoreTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr const char* kOperator = "keyed.op";
+constexpr const char* kServers = "keyed.servers";
 
 void
 WriteCatalog(PlatformHarness& aHarness, std::uint64_t aVersion)
@@ -100,6 +101,57 @@
   CHECK(late == 0);
 }
 
+// Guards against engines that have left and come back with an older copy of the
+// list, and against engines that are missing in it.
+TEST_CASE("an older copy of the list brings back no engine that has left")
+{
+  PlatformHarness harness(24080);
+  ServingState& state = *harness.state;
+  const auto write = [&harness](const std::string& aId, int aRenewal) {
+    std::string entry = harness.EntryOf(aId);
+    entry.insert(1, "\"seq\":" + std::to_string(aRenewal) + ",");
+    harness.store.AppendKeyed(kServers, aId, entry);
+  };
+  for (const char* id : { "stays", "leaves", "late" }) {
+    harness.AddEngine(id, "plain");
+    state.backends.Remove(InstanceId{ id }, std::nullopt);
+  }
+  bool leftIsBack = false;
+  bool lateWasKept = false;
+  harness.Run([](ServingState& aState,
+                 PlatformHarness& aHarness,
+                 std::function<void(const std::string&, int)> aWrite,
+                 bool& aLeftIsBack,
+                 bool& aLateWasKept) -> Task<void> {
+    const auto has = [&aState](const char* aId) {
+      return aState.backends.Find(InstanceId{ aId }) != nullptr;
+    };
+    aState.pool.First().Spawn(WatchBackendList(aState));
+    aWrite("stays", 3);
+    aWrite("leaves", 3);
+    co_await Sleep(std::chrono::milliseconds(900));
+    aHarness.store.TakeCopy();
+    aWrite("late", 1);
+    aHarness.store.AppendKeyed(kServers, "leaves", std::nullopt);
+    co_await Sleep(std::chrono::milliseconds(900));
+    CHECK(has("late"));
+    CHECK_FALSE(has("leaves"));
+    aHarness.store.Restore();
+    for (int look = 0; look < 18; ++look) {
+      co_await Sleep(std::chrono::milliseconds(100));
+      aLeftIsBack = aLeftIsBack || has("leaves");
+    }
+    aLateWasKept = has("late");
+    aWrite("stays", 4);
+    aWrite("late", 2);
+    co_await Sleep(std::chrono::milliseconds(900));
+    CHECK(has("stays"));
+    CHECK(has("late"));
+  }(state, harness, write, leftIsBack, lateWasKept));
+  CHECK_FALSE(leftIsBack);
+  CHECK(lateWasKept);
+}
+
 // Guards against a report that is added up anew since the store has lost the
 // record of it.
 TEST_CASE("a usage report that the store lost is sent with the same counts")
