Orders of operators outlive their loss in the store

What callers would see: after the store came back from a copy, requests of a version that was rolled back (its order was written again elsewhere, so it started over) or of any version (a daemon that started then knew no order); and a drain of a failure domain that ended by itself.

Change: an order written again in a new era, with the same contents, stays the same rollout; an earlier order in the copy changes nothing. Daemons tell each other their orders with identity, record and end, so that one that started after the loss adopts the identity (its evidence is renamed) and hears of orders that the store lacks. A status of an earlier era ends the order of the same target that a daemon reads at its start. A drain whose order is missing in a new era stays in force for 2 s, in which operators write it again.

Measured: unit tests of each case, which the code before does not compile with; the bounds in logical time as before.

What remains: a drain that had ended, and whose end the store has lost, begins again until the end is written again.

--- a/src/coord/DomainDrains.cpp
+++ b/src/coord/DomainDrains.cpp
@@ -16,6 +16,7 @@
   }
   DomainDrain& drain = this->drains[aZone];
   drain.position = aPosition;
+  drain.missingSince.reset();
   if (drain.inForce == aBegins) {
     return false;
   }
@@ -38,6 +39,10 @@
   for (auto& [zone, drain] : this->drains) {
     const bool isUnlisted =
       drain.inForce && drain.position < aEnd && !aListed.contains(zone);
+    if (isUnlisted && drain.position.era < aEnd.era) {
+      drain.missingSince = drain.missingSince.value_or(aNow);
+      continue;
+    }
     if (isUnlisted && this->Apply(zone, aEnd, false, aNow)) {
       ended.push_back(zone);
     }
@@ -45,4 +50,18 @@
   return ended;
 }
 
+std::vector<ZoneId>
+DomainDrains::EndMissing(TimePoint aNow)
+{
+  std::vector<ZoneId> ended;
+  for (auto& [zone, drain] : this->drains) {
+    const bool isOver =
+      drain.missingSince && aNow - *drain.missingSince >= kRewriteTime;
+    if (isOver && this->Apply(zone, drain.position, false, aNow)) {
+      ended.push_back(zone);
+    }
+  }
+  return ended;
+}
+
 } // namespace toucanshed
--- a/src/coord/DomainDrains.h
+++ b/src/coord/DomainDrains.h
@@ -7,6 +7,7 @@
 #include "base/Types.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -18,12 +19,17 @@
   StorePosition position; // of the latest record about it
   TimePoint since;        // when this daemon applied that record
   bool inForce = false;
+  /** Since when a snapshot of a later era lacks its order; nothing otherwise.
+   */
+  std::optional<TimePoint> missingSince;
 };
 
 /**
  * An order and its end are records of one key, so the one with the higher
  * position counts, in whatever order they arrive. A drain therefore never comes
- * back through a late report or an old copy.
+ * back through a late report or an old copy. When the store has come back from
+ * a copy that lacks the order, the drain stays in force until operators have
+ * had time to write it again.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -36,12 +42,18 @@
              StorePosition aPosition,
              bool aBegins,
              TimePoint aNow);
+  /** Time in which an order that the store has lost is written again. */
+  static constexpr Millis kRewriteTime{ 2000 };
+
   /** All records before aEnd were read, and aListed are the failure domains
    * with an order.
    * \return those whose drain has ended thereby */
   std::vector<ZoneId> EndUnlisted(const std::set<ZoneId>& aListed,
                                   StorePosition aEnd,
                                   TimePoint aNow);
+  /** Ends the drains whose orders were not written again in time.
+   * \return their failure domains */
+  std::vector<ZoneId> EndMissing(TimePoint aNow);
 
   [[nodiscard]] bool IsDrained(const ZoneId& aZone) const
   {
--- a/src/coord/Evidence.cpp
+++ b/src/coord/Evidence.cpp
@@ -126,6 +126,21 @@
   return sum;
 }
 
+void
+EvidenceTable::Rename(Position aFrom, Position aTo)
+{
+  std::map<Key, Tally> renamed;
+  for (auto& [key, tally] : this->tallies) {
+    Key to = key;
+    to.rollout = key.rollout == aFrom ? aTo : key.rollout;
+    Tally& known = renamed[std::move(to)];
+    if (tally.requests > known.requests) {
+      known = tally;
+    }
+  }
+  this->tallies = std::move(renamed);
+}
+
 void
 EvidenceTable::Erase(Position aRollout)
 {
--- a/src/coord/Evidence.h
+++ b/src/coord/Evidence.h
@@ -79,6 +79,8 @@
   /** Returns the counts of all daemons of a version in a rollout. */
   [[nodiscard]] StratumTallies Sum(Position aRollout,
                                    const VersionId& aVersion) const;
+  /** A rollout is known by another identity from now on. */
+  void Rename(Position aFrom, Position aTo);
   /** Removes a rollout that has ended. */
   void Erase(Position aRollout);
 
--- a/src/coord/Rollouts.cpp
+++ b/src/coord/Rollouts.cpp
@@ -14,27 +14,96 @@
   return static_cast<double>(aTime.count());
 }
 
+bool
+HasSameContents(const RolloutOrder& aLeft, const RolloutOrder& aRight)
+{
+  return aLeft.service == aRight.service && aLeft.target == aRight.target &&
+         aLeft.duration == aRight.duration;
+}
+
 } // namespace
 
+bool
+Rollouts::IsWrittenAgain(const RolloutOrder& aOrder) const
+{
+  const Rollout* known = this->Find(aOrder.service);
+  if (known == nullptr || aOrder.record.era <= known->order.record.era) {
+    return false;
+  }
+  return HasSameContents(aOrder, known->order) ||
+         std::any_of(this->superseded.begin(),
+                     this->superseded.end(),
+                     [&](const RolloutOrder& aEarlier) {
+                       return HasSameContents(aOrder, aEarlier);
+                     });
+}
+
 void
 Rollouts::Start(const RolloutOrder& aOrder, TimePoint aNow)
 {
   const auto found = this->rollouts.find(aOrder.service);
-  const bool isStale = found != this->rollouts.end() &&
-                       aOrder.position <= found->second.order.position;
-  if (!isStale) {
-    Rollout rollout;
-    rollout.order = aOrder;
-    rollout.started = aNow;
-    rollout.readySince = aNow;
-    const auto known = this->ended.find({ aOrder.service, aOrder.target });
-    const bool hasEnded =
-      known != this->ended.end() && known->second.order == aOrder.position;
-    if (hasEnded) {
-      rollout.phase = known->second.phase;
+  const bool isKnown = found != this->rollouts.end();
+  if (isKnown && this->IsWrittenAgain(aOrder)) {
+    if (HasSameContents(aOrder, found->second.order)) {
+      found->second.order.record = aOrder.record;
+    }
+    return;
+  }
+  if (isKnown && aOrder.position <= found->second.order.position) {
+    return;
+  }
+  if (isKnown) {
+    this->superseded.push_back(found->second.order);
+    if (this->superseded.size() > kMaxEnded) {
+      this->superseded.erase(this->superseded.begin());
+    }
+  }
+  Rollout rollout;
+  rollout.order = aOrder;
+  rollout.started = aNow;
+  rollout.readySince = aNow;
+  const auto known = this->ended.find({ aOrder.service, aOrder.target });
+  const bool hasEnded =
+    known != this->ended.end() && known->second.order == aOrder.position;
+  if (hasEnded) {
+    rollout.phase = known->second.phase;
+  }
+  this->rollouts[aOrder.service] = std::move(rollout);
+}
+
+RolloutNews
+Rollouts::Merge(const RolloutReport& aReport, TimePoint aNow)
+{
+  RolloutNews news;
+  const RolloutOrder& order = aReport.order;
+  const bool isLatestThere =
+    order.record.offset != 0 || order.record.era.value != 0;
+  auto found = this->rollouts.find(order.service);
+  const bool isUnknown =
+    isLatestThere && (found == this->rollouts.end() ||
+                      (found->second.order.record < order.record &&
+                       !HasSameContents(found->second.order, order)));
+  if (isUnknown) {
+    this->Start(order, aNow);
+    found = this->rollouts.find(order.service);
+    news.started = found->second.order.position == order.position;
+  }
+  // A daemon that started after the loss knows the order by its record there.
+  const bool isSameRecord = isLatestThere && found != this->rollouts.end() &&
+                            found->second.order.record == order.record;
+  if (isSameRecord && order.position < found->second.order.position) {
+    news.renamed = found->second.order.position;
+    found->second.order.position = order.position;
+    const auto end = this->ended.find({ order.service, order.target });
+    if (end != this->ended.end() && end->second.order == *news.renamed) {
+      end->second.order = order.position;
     }
-    this->rollouts[aOrder.service] = std::move(rollout);
   }
+  if (aReport.phase != RolloutPhase::eActive) {
+    news.ended = this->RecordEnd(EndedRollout{
+      order.service, order.target, order.position, aReport.phase });
+  }
+  return news;
 }
 
 void
@@ -88,15 +157,27 @@
   }
 }
 
-std::vector<EndedRollout>
-Rollouts::Ended() const
+std::vector<RolloutReport>
+Rollouts::Reports() const
 {
-  std::vector<EndedRollout> all;
-  all.reserve(this->ended.size());
+  std::vector<RolloutReport> reports;
+  for (const auto& [service, rollout] : this->rollouts) {
+    reports.push_back(RolloutReport{ rollout.order, rollout.phase });
+  }
   for (const auto& [version, end] : this->ended) {
-    all.push_back(end);
+    const Rollout* latest = this->Find(end.service);
+    const bool isLatest =
+      latest != nullptr && latest->order.position == end.order;
+    if (!isLatest) {
+      RolloutReport report;
+      report.order.service = end.service;
+      report.order.target = end.target;
+      report.order.position = end.order;
+      report.phase = end.phase;
+      reports.push_back(std::move(report));
+    }
   }
-  return all;
+  return reports;
 }
 
 bool
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -41,6 +41,23 @@
   RolloutPhase phase = RolloutPhase::eRolledBack;
 };
 
+/** What a daemon tells the others of an order. */
+struct RolloutReport
+{
+  RolloutOrder order; // its record is of offset 0 unless it is the latest one
+  RolloutPhase phase = RolloutPhase::eActive;
+};
+
+/** What a report of another daemon has changed. */
+struct RolloutNews
+{
+  bool started = false; // an order that was not known here
+  bool ended = false;
+  /** The order is known by another identity from now on; this is the old one.
+   */
+  std::optional<Position> renamed;
+};
+
 /** An order and its state. */
 struct Rollout
 {
@@ -131,7 +148,12 @@
   /** Starts the rollout of an order, in place of one from an earlier record;
    * ignores an order that is not later than the known one. The order may be
    * known to have ended. */
+  /** An order that the store has lost in a new era is written again there; it
+   * stays the same rollout. */
   void Start(const RolloutOrder& aOrder, TimePoint aNow);
+  /** Applies what another daemon knows: the orders that a restored store lacks,
+   * how they ended, and the identity that they had before. */
+  RolloutNews Merge(const RolloutReport& aReport, TimePoint aNow);
   /** Records how a rollout ended, here or elsewhere; the first end of an order
    * counts. \return whether it is news. */
   bool RecordEnd(const EndedRollout& aEnded);
@@ -147,8 +169,9 @@
   [[nodiscard]] std::vector<Rollout> Active() const;
   /** Returns the latest rollout of each service, ended or not. */
   [[nodiscard]] std::vector<Rollout> All() const;
-  /** Returns how rollouts ended, at most kMaxEnded, for the other daemons. */
-  [[nodiscard]] std::vector<EndedRollout> Ended() const;
+  /** Returns the latest order of each service, and how earlier ones ended, for
+   * the other daemons. */
+  [[nodiscard]] std::vector<RolloutReport> Reports() const;
   /** Whether a version is the old one of a rollout: not its target, and not
    * rolled back by an earlier order. */
   [[nodiscard]] bool IsOldVersion(const Rollout& aRollout,
@@ -196,10 +219,15 @@
                                    const AttemptId& aAttempt,
                                    TimePoint aNow) const;
   void ForgetOldest();
+  /** Whether a record of a later era is one that the known orders had before:
+   * the latest order written again, or an earlier one of the copy. */
+  [[nodiscard]] bool IsWrittenAgain(const RolloutOrder& aOrder) const;
 
   ExposureLimits limits;
   IsInformed isInformed;
   std::map<ServiceId, Rollout> rollouts;
+  /** Orders that a later one of their service replaced. */
+  std::vector<RolloutOrder> superseded;
   /** The latest end of each version's rollouts. */
   std::map<std::pair<ServiceId, VersionId>, EndedRollout> ended;
 };
--- a/src/serve/DatagramCounts.cpp
+++ b/src/serve/DatagramCounts.cpp
@@ -32,8 +32,8 @@
       return "permit_reply";
     case serving::Datagram::kReach:
       return "reach";
-    case serving::Datagram::kEndedRollouts:
-      return "ended_rollouts";
+    case serving::Datagram::kRollouts:
+      return "rollouts";
     case serving::Datagram::kStoreEra:
       return "store_era";
     case serving::Datagram::kUsageReports:
--- a/src/serve/OperatorRecords.cpp
+++ b/src/serve/OperatorRecords.cpp
@@ -178,6 +178,14 @@
                     .With("position", order->position.value));
 }
 
+void
+EndMissingDrains(ServingState& aState, TimePoint aNow)
+{
+  for (const ZoneId& zone : aState.domainDrains.EndMissing(aNow)) {
+    RecordDomainDrain(aState, zone, aState.operatorEnd, false);
+  }
+}
+
 void
 ReplaceOperatorRecords(ServingState& aState, const TopicPage& aPage)
 {
--- a/src/serve/OperatorRecords.h
+++ b/src/serve/OperatorRecords.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "base/Types.h"
+
 namespace toucanshed {
 
 struct KeyedRecord;
@@ -21,4 +23,9 @@
 void
 ReplaceOperatorRecords(ServingState& aState, const TopicPage& aPage);
 
+/** Ends the drains of failure domains whose orders the store has lost and
+ * operators did not write again in time. */
+void
+EndMissingDrains(ServingState& aState, TimePoint aNow);
+
 } // namespace toucanshed
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -1,6 +1,7 @@
 #include "PeerMessenger.h"
 
 #include "BackendList.h"
+#include "OperatorRecords.h"
 #include "PeerReports.h"
 #include "ServingState.h"
 #include "StoreClient.h"
@@ -107,9 +108,9 @@
     report.set_era(this->state.storeEra.value_or(StoreEra{}).value);
     this->SendDatagram(datagram, this->state.peers.Addresses());
   };
-  this->state.sendEndedRollouts = [this] {
+  this->state.sendRolloutReports = [this] {
     serving::Datagram datagram;
-    *datagram.mutable_ended_rollouts() = MakeEndedRolloutReport(this->state);
+    *datagram.mutable_rollouts() = MakeRolloutReports(this->state);
     this->SendDatagram(datagram, this->state.peers.Addresses());
   };
   this->state.sendEvidence = [this] {
@@ -214,7 +215,7 @@
   if (aDatagram.has_reach()) {
     this->state.peers.ReceiveReach(aDatagram.reach());
   }
-  this->HandleEndedRollouts(aDatagram.ended_rollouts().rollouts());
+  this->HandleRolloutReports(aDatagram.rollouts().rollouts());
   if (aDatagram.has_store_era()) {
     const serving::StoreEraReport& report = aDatagram.store_era();
     ObserveStoreEra(this->state, StoreEra{ report.era() }, report.id());
@@ -283,7 +284,7 @@
                              .With("from", aHeartbeat.id()));
     }
   }
-  this->HandleEndedRollouts(aHeartbeat.ended_rollouts());
+  this->HandleRolloutReports(aHeartbeat.rollouts());
   for (const serving::FactState& fact : aHeartbeat.facts()) {
     FactEntry entry;
     entry.key = fact.key();
@@ -293,21 +294,33 @@
 }
 
 void
-PeerMessenger::HandleEndedRollouts(
-  const google::protobuf::RepeatedPtrField<serving::EndedRollout>& aEnded)
+PeerMessenger::HandleRolloutReports(
+  const google::protobuf::RepeatedPtrField<serving::RolloutReport>& aReports)
 {
-  for (const serving::EndedRollout& entry : aEnded) {
-    EndedRollout ended;
-    ended.service = ServiceId{ entry.service() };
-    ended.target = VersionId{ entry.target() };
-    ended.order = Position{ entry.order() };
-    ended.phase =
-      entry.completed() ? RolloutPhase::eCompleted : RolloutPhase::eRolledBack;
-    if (this->state.rollouts.RecordEnd(ended)) {
-      this->state.log.Emit(Event("move.end_heard")
-                             .With("service", ended.service)
-                             .With("target", ended.target)
-                             .With("position", ended.order.value)
+  for (const serving::RolloutReport& entry : aReports) {
+    RolloutReport report;
+    report.order.service = ServiceId{ entry.service() };
+    report.order.target = VersionId{ entry.target() };
+    report.order.position = Position{ entry.order() };
+    report.order.record = Unpack(entry.record());
+    report.order.duration =
+      Millis(static_cast<std::int64_t>(entry.duration_ms()));
+    if (!entry.active()) {
+      report.phase = entry.completed() ? RolloutPhase::eCompleted
+                                       : RolloutPhase::eRolledBack;
+    }
+    const RolloutNews news =
+      this->state.rollouts.Merge(report, ServingState::Now());
+    if (news.renamed) {
+      this->state.evidence.Rename(*news.renamed, report.order.position);
+    }
+    if (news.started || news.ended) {
+      this->state.log.Emit(Event("move.heard")
+                             .With("service", report.order.service)
+                             .With("target", report.order.target)
+                             .With("position", report.order.position.value)
+                             .With("started", news.started ? 1 : 0)
+                             .With("ended", news.ended ? 1 : 0)
                              .With("completed", entry.completed() ? 1 : 0));
     }
   }
@@ -487,6 +500,7 @@
   this->state.engineLimits.Expire(aNow);
   this->state.rejectionLimits.Expire(aNow);
   DropExpiredBackends(this->state, aNow);
+  EndMissingDrains(this->state, aNow);
   this->state.backends.SetRemoteLoads(this->state.peers.Loads(aNow));
   this->state.UpdateQuotas(aNow);
 }
--- a/src/serve/PeerMessenger.h
+++ b/src/serve/PeerMessenger.h
@@ -109,9 +109,9 @@
   void SendToDutyCandidates(TimePoint aNow);
   /** Updates all state that is derived from the peers' messages. */
   void UpdateFromPeers(TimePoint aNow);
-  /** Applies how rollouts ended, as another daemon states it. */
-  void HandleEndedRollouts(
-    const google::protobuf::RepeatedPtrField<serving::EndedRollout>& aEnded);
+  /** Applies what another daemon knows of rollouts. */
+  void HandleRolloutReports(
+    const google::protobuf::RepeatedPtrField<serving::RolloutReport>& aReports);
   /** Sends this daemon's evidence about the targets of active rollouts, soon
    * after it has changed. */
   Task<void> SendTargetEvidence();
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -222,16 +222,20 @@
   return report;
 }
 
-serving::EndedRolloutReport
-MakeEndedRolloutReport(const ServingState& aState)
+serving::RolloutReports
+MakeRolloutReports(const ServingState& aState)
 {
-  serving::EndedRolloutReport report;
-  for (const EndedRollout& ended : aState.rollouts.Ended()) {
-    serving::EndedRollout* entry = report.add_rollouts();
-    entry->set_service(ended.service.value);
-    entry->set_target(ended.target.value);
-    entry->set_order(ended.order.value);
-    entry->set_completed(ended.phase == RolloutPhase::eCompleted);
+  serving::RolloutReports report;
+  for (const RolloutReport& known : aState.rollouts.Reports()) {
+    serving::RolloutReport* entry = report.add_rollouts();
+    entry->set_service(known.order.service.value);
+    entry->set_target(known.order.target.value);
+    entry->set_order(known.order.position.value);
+    entry->set_completed(known.phase == RolloutPhase::eCompleted);
+    entry->set_active(known.phase == RolloutPhase::eActive);
+    entry->set_record(Pack(known.order.record));
+    entry->set_duration_ms(
+      static_cast<std::uint64_t>(known.order.duration.count()));
   }
   return report;
 }
@@ -273,8 +277,7 @@
     entry->set_service(service.value);
     entry->set_prompt_tokens_per_s(meter.At(now));
   }
-  *heartbeat.mutable_ended_rollouts() =
-    MakeEndedRolloutReport(aState).rollouts();
+  *heartbeat.mutable_rollouts() = MakeRolloutReports(aState).rollouts();
   const std::size_t daemons = aState.DaemonCount();
   for (const FactEntry& fact : aState.facts.TakeForGossip(daemons)) {
     auto* entry = heartbeat.add_facts();
--- a/src/serve/PeerReports.h
+++ b/src/serve/PeerReports.h
@@ -54,8 +54,8 @@
 
 /** Builds a report of the rate limits that the other daemons must receive at
  * once, and marks them as reported. */
-serving::EndedRolloutReport
-MakeEndedRolloutReport(const ServingState& aState);
+serving::RolloutReports
+MakeRolloutReports(const ServingState& aState);
 
 serving::RateLimitReport
 TakeUrgentLimits(ServingState& aState);
--- a/src/serve/RolloutMonitor.cpp
+++ b/src/serve/RolloutMonitor.cpp
@@ -27,11 +27,22 @@
     co_return false;
   }
   for (const KeyedRecord& record : page->records) {
-    const auto status = aState.wire.records.readRolloutStatus(*record.value);
-    if (status) {
-      aState.rollouts.RecordEnd(EndedRollout{
-        status->service, status->target, status->order, status->phase });
+    auto status = aState.wire.records.readRolloutStatus(*record.value);
+    if (!status) {
+      continue;
+    }
+    // A status of an earlier era names the order by the identity that it had.
+    // An order of the same target in the snapshot is taken to be that one.
+    const Rollout* rollout = aState.rollouts.Find(status->service);
+    const bool isEarlier = rollout != nullptr &&
+                           rollout->order.target == status->target &&
+                           Unpack(status->order.value).era <
+                             Unpack(rollout->order.position.value).era;
+    if (isEarlier) {
+      status->order = rollout->order.position;
     }
+    aState.rollouts.RecordEnd(EndedRollout{
+      status->service, status->target, status->order, status->phase });
   }
   co_return true;
 }
@@ -121,7 +132,7 @@
   const bool isNews = aState.rollouts.RecordEnd(
     EndedRollout{ aOrder.service, aOrder.target, aOrder.position, aPhase });
   if (isNews) {
-    aState.sendEndedRollouts();
+    aState.sendRolloutReports();
   }
 }
 
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -143,8 +143,8 @@
   std::function<void()> sendUsageReports = [] {};
   /** Reports the store's era to the other daemons at once. */
   std::function<void()> sendStoreEra = [] {};
-  /** Reports to the other daemons at once how rollouts ended. */
-  std::function<void()> sendEndedRollouts = [] {};
+  /** Reports to the other daemons at once what is known of rollouts. */
+  std::function<void()> sendRolloutReports = [] {};
   /** Schedules a report of this daemon's evidence about rollouts' targets, for
    * those that judge them. */
   std::function<void()> sendEvidence = [] {};
--- a/test/VerdictSimulation.cpp
+++ b/test/VerdictSimulation.cpp
@@ -13,7 +13,11 @@
 const ServiceId kService{ "model" };
 const VersionId kOld{ "v1" };
 const VersionId kTarget{ "v2" };
-const RolloutOrder kOrder{ kService, kTarget, Millis(300000), Position{ 5 } };
+const RolloutOrder kOrder{ kService,
+                           kTarget,
+                           Millis(300000),
+                           Position{ 5 },
+                           StorePosition{ 5 } };
 constexpr std::size_t kBadResponsesAllowed = 50;
 constexpr Millis kRollbackTime{ 5000 };
 constexpr Millis kContact{ 3000 };
@@ -182,13 +186,17 @@
 void
 VerdictSimulation::SendEnded(std::size_t aDaemon, std::size_t aTo)
 {
-  this->Send(aDaemon,
-             aTo,
-             [ended = this->daemons[aDaemon].rollouts->Ended()](Daemon& aTo) {
-               for (const EndedRollout& end : ended) {
-                 aTo.rollouts->RecordEnd(end);
-               }
-             });
+  this->Send(
+    aDaemon,
+    aTo,
+    [this, reports = this->daemons[aDaemon].rollouts->Reports()](Daemon& aTo) {
+      for (const RolloutReport& report : reports) {
+        const RolloutNews news = aTo.rollouts->Merge(report, this->now);
+        if (news.renamed) {
+          aTo.evidence->Rename(*news.renamed, report.order.position);
+        }
+      }
+    });
 }
 
 void
--- a/test/correctness/RolloutsTest.cpp
+++ b/test/correctness/RolloutsTest.cpp
@@ -103,6 +103,72 @@
   CHECK_FALSE(rollouts.IsOldVersion(*rollouts.Find(kService), kNewVersion));
 }
 
+// Guards against an order that starts over, or is dropped as stale, since the
+// store has lost it and it is written again at another position.
+TEST_CASE("an order that is written again in a new era stays the same")
+{
+  const auto order = [](const char* aTarget, StorePosition aRecord) {
+    return RolloutOrder{ kService,
+                         VersionId{ aTarget },
+                         Millis(40000),
+                         Position{ Pack(aRecord) },
+                         aRecord };
+  };
+  const StoreEra second{ 2 };
+  Rollouts rollouts(ExposureLimits{});
+  rollouts.Start(order("v2", { 10, StoreEra{ 1 } }), kStart);
+  rollouts.Start(order("v3", { 20, StoreEra{ 1 } }), kStart);
+  const Position identity = rollouts.Find(kService)->order.position;
+  rollouts.RecordEnd(EndedRollout{
+    kService, VersionId{ "v3" }, identity, RolloutPhase::eRolledBack });
+  // The copy has the earlier order only; the latest is written again.
+  rollouts.Start(order("v2", { 10, second }), kStart);
+  CHECK(rollouts.Find(kService)->order.target == VersionId{ "v3" });
+  rollouts.Start(order("v3", { 12, second }), kStart);
+  CHECK(rollouts.Find(kService)->order.position == identity);
+  CHECK(rollouts.Active().empty());
+  // The operator orders it once more.
+  rollouts.Start(order("v3", { 15, second }), kStart);
+  CHECK(rollouts.Active().size() == 1);
+}
+
+// Guards against a daemon that started after the loss and counts the same order
+// as another one.
+TEST_CASE("daemons agree on the identity of an order over eras")
+{
+  const StoreEra first{ 1 };
+  const StoreEra second{ 2 };
+  const RolloutOrder before{ kService,
+                             kNewVersion,
+                             Millis(40000),
+                             Position{ Pack({ 20, first }) },
+                             StorePosition{ 20, first } };
+  RolloutOrder again = before;
+  again.record = StorePosition{ 12, second };
+  again.position = Position{ Pack(again.record) };
+  Rollouts older(ExposureLimits{});
+  older.Start(before, kStart);
+  older.Start(again, kStart);
+  Rollouts newer(ExposureLimits{});
+  newer.Start(again, kStart);
+  older.RecordEnd(EndedRollout{
+    kService, kNewVersion, before.position, RolloutPhase::eRolledBack });
+  std::optional<Position> renamed;
+  for (const RolloutReport& report : older.Reports()) {
+    const RolloutNews news = newer.Merge(report, kStart);
+    renamed = news.renamed ? news.renamed : renamed;
+  }
+  CHECK(renamed == again.position);
+  CHECK(newer.Find(kService)->order.position == before.position);
+  CHECK(newer.Active().empty());
+  // One that reads no order at all, as the store has lost it, hears of it.
+  Rollouts unaware(ExposureLimits{});
+  for (const RolloutReport& report : newer.Reports()) {
+    unaware.Merge(report, kStart);
+  }
+  CHECK_FALSE(unaware.MayUse(kService, kNewVersion, MakeAttempt(1), kStart));
+}
+
 // Guards against a daemon that sends to a new version while it would not hear
 // that another one has found it bad.
 TEST_CASE("a daemon that hears no others sends a new version nothing")
--- a/test/failure/DomainDrainTest.cpp
+++ b/test/failure/DomainDrainTest.cpp
@@ -187,6 +187,29 @@
   CHECK_FALSE(drains.IsDrained(zone));
 }
 
+// Guards against a drain that ends since the store has come back from a copy
+// without its order.
+TEST_CASE("a drain outlives the loss of its order in the store")
+{
+  const ZoneId zone{ "zone-1" };
+  const StoreEra second{ 2 };
+  const TimePoint now{ 100000 };
+  DomainDrains drains;
+  drains.Apply(zone, StorePosition{ 9, StoreEra{ 1 } }, true, now);
+  CHECK(drains.EndUnlisted({}, StorePosition{ 6, second }, now).empty());
+  CHECK(drains.EndMissing(now + Millis(1900)).empty());
+  CHECK(drains.IsDrained(zone));
+  // Operators write it again.
+  drains.Apply(zone, StorePosition{ 6, second }, true, now + Millis(1950));
+  CHECK(drains.EndMissing(now + Millis(5000)).empty());
+  CHECK(drains.IsDrained(zone));
+  // They do not the next time.
+  const StorePosition third{ 4, StoreEra{ 3 } };
+  CHECK(drains.EndUnlisted({}, third, now + Millis(6000)).empty());
+  CHECK(drains.EndMissing(now + Millis(8000)).size() == 1);
+  CHECK_FALSE(drains.IsDrained(zone));
+}
+
 // Guards against settings of operators that are not read.
 TEST_CASE("warm-up and allowed regions of a configuration are read")
 {
--- a/test/failure/RolloutVerdictTest.cpp
+++ b/test/failure/RolloutVerdictTest.cpp
@@ -10,7 +10,11 @@
 
 const ServiceId kService{ "plain" };
 const VersionId kTarget{ "v2" };
-const RolloutOrder kOrder{ kService, kTarget, Millis(60000), Position{ 5 } };
+const RolloutOrder kOrder{ kService,
+                           kTarget,
+                           Millis(60000),
+                           Position{ 5 },
+                           StorePosition{ 5 } };
 
 /** Adds an engine of the version that an order names. */
 standin::PlatformEngine&
