A daemon takes the newest configuration that the others have

What callers would see: after the store came back from a copy, a daemon that starts goes by the copy's older configuration, accepts a key that was revoked and answers 404 for a route that was added, until operators write it again.

Change: a daemon whose configuration has been older than another's for half the time within which a change must be in force fetches the record, as operators wrote it, on the port for other daemons, and applies it as if read (never an older one). Mostly it reads the store meanwhile, so nothing is fetched.

Ways not taken: the record in datagrams (a configuration may have more than 60 kB); not being ready before all agree (one late daemon would hold up a start).

--- a/src/serve/CallerHandler.cpp
+++ b/src/serve/CallerHandler.cpp
@@ -1,5 +1,6 @@
 #include "CallerHandler.h"
 
+#include "CatalogSync.h"
 #include "LocalResponses.h"
 #include "RelayFields.h"
 #include "RequestForwarder.h"
@@ -203,6 +204,10 @@
                      const HttpRequest& aMessage,
                      HttpResponder& aResponder)
 {
+  if (aMessage.target() == kCatalogPath) {
+    co_await SendCatalogRecord(aState, aResponder);
+    co_return;
+  }
   const InProgressGuard inProgress(aState.inProgress);
   const InProgressGuard relayInProgress(aState.relaysInProgress);
   HttpRequest message = aMessage;
--- a/src/serve/OperatorRecords.cpp
+++ b/src/serve/OperatorRecords.cpp
@@ -122,6 +122,7 @@
   ConfigureWarmup(aState, *parsed);
   aState.quotas.Configure(*parsed, ServingState::Now());
   aState.catalog = std::make_shared<const Catalog>(std::move(*parsed));
+  aState.catalogRecord = aRecord;
   aState.log.Emit(Event("catalog.in_force")
                     .With("version", aState.catalog->version)
                     .With("position", aRecord.position.offset)
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -1,6 +1,7 @@
 #include "ServingDaemon.h"
 
 #include "CallerHandler.h"
+#include "CatalogSync.h"
 #include "RolloutMonitor.h"
 #include "StoreWatcher.h"
 #include "base/LogWriter.h"
@@ -99,6 +100,7 @@
   this->reach.Start();
   worker.Spawn(WatchOperatorTopic(this->state));
   worker.Spawn(WatchBackendList(this->state));
+  worker.Spawn(FollowPeerCatalogs(this->state));
   worker.Spawn(MonitorRollouts(this->state));
   const bool hasDuties =
     settings.cloud && (settings.reportsUsage || settings.scalesEngines);
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -102,6 +102,7 @@
   WorkerPool pool{ 1 };
 
   std::shared_ptr<const Catalog> catalog; // null until it was read
+  KeyedRecord catalogRecord;              // the record that it was read from
   BackendTable backends;
   bool backendsRead = false;
   ListRevisions listRevisions;
--- a/test/failure/StoreRestoreTest.cpp
+++ b/test/failure/StoreRestoreTest.cpp
@@ -1,6 +1,8 @@
 #include "test/PlatformHarness.h"
 
+#include "serve/CatalogSync.h"
 #include "serve/DutyRunner.h"
+#include "serve/OperatorRecords.h"
 #include "serve/StoreWatcher.h"
 
 #include <catch2/catch.hpp>
@@ -101,6 +103,35 @@
   CHECK(late == 0);
 }
 
+// Guards against a daemon that starts after the loss and goes by an older
+// configuration, which still has a revoked key.
+TEST_CASE("a daemon that starts after the loss gets the newest configuration")
+{
+  PlatformHarness harness(24100);
+  harness.AddEngine("e1", "plain");
+  ServingState& peer = harness.AddPeerDaemon();
+  harness.state->catalog = nullptr;
+  KeyedRecord newest;
+  newest.key = "config";
+  newest.value = PlatformHarness::CatalogText(9, "key-two");
+  newest.position = StorePosition{ 8, StoreEra{ 0 } };
+  ApplyOperatorRecord(peer, newest);
+  WriteCatalog(harness, 5);
+  unsigned revoked = 0;
+  harness.Run([](PlatformHarness& aHarness, unsigned& aRevoked) -> Task<void> {
+    ServingState& state = *aHarness.state;
+    state.pool.First().Spawn(WatchOperatorTopic(state));
+    state.pool.First().Spawn(FollowPeerCatalogs(state));
+    co_await Sleep(std::chrono::milliseconds(1900));
+    CallerMessage message;
+    const CallerResponse response =
+      co_await aHarness.SendRequest(std::move(message));
+    aRevoked = response.status;
+  }(harness, revoked));
+  CHECK(harness.state->catalog->version == 9);
+  CHECK(revoked == 401);
+}
+
 // Guards against engines that have left and come back with an older copy of the
 // list, and against engines that are missing in it.
 TEST_CASE("an older copy of the list brings back no engine that has left")
