A new version keeps to its share of the requests when the load changes

What callers would see: most requests of a burst at a version that turns out to be bad. Not reported; found when the places of EXPOSURE were gone through.

Cause: the shares of a rollout are planned over time, as if requests arrived evenly. The cutover has 4 in 100 of the time and, in a burst, most of the requests.

Change: each daemon counts its sends since the order and sends the target none beyond a tenth of its own before the deadline. So all together keep to it, whatever the load of each, and a restart begins with none. The hook of Rollouts that says whether a daemon is informed says this too.

Ways not taken: planning by requests instead of time (each daemon would end the cutover at another moment).

--- a/src/coord/Rollouts.cpp
+++ b/src/coord/Rollouts.cpp
@@ -329,7 +329,7 @@
     CombineHashes(Hash64(aAttempt.value), aRollout.order.position.value) %
     10000);
   return bucket < this->NewVersionShareAt(aRollout, aNow) * kBuckets &&
-         this->isInformed(aNow);
+         this->mayUseTarget(aRollout, aNow);
 }
 
 std::optional<RolloutPhase>
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -134,14 +134,15 @@
   /** Most ended rollouts that are remembered. */
   static constexpr std::size_t kMaxEnded = 32;
 
-  /** Whether this daemon hears what the others know of rollouts. */
-  using IsInformed = std::function<bool(TimePoint aNow)>;
+  /** Whether this daemon may send a rollout's target anything now: whether it
+   * hears what the others know of it, and has a share left. */
+  using MayUseTarget = std::function<bool(const Rollout&, TimePoint aNow)>;
 
   explicit Rollouts(
     ExposureLimits aLimits,
-    IsInformed aIsInformed = [](TimePoint) { return true; })
+    MayUseTarget aMayUseTarget = [](const Rollout&, TimePoint) { return true; })
     : limits(aLimits)
-    , isInformed(std::move(aIsInformed))
+    , mayUseTarget(std::move(aMayUseTarget))
   {
   }
 
@@ -224,7 +225,7 @@
   [[nodiscard]] bool IsWrittenAgain(const RolloutOrder& aOrder) const;
 
   ExposureLimits limits;
-  IsInformed isInformed;
+  MayUseTarget mayUseTarget;
   std::map<ServiceId, Rollout> rollouts;
   /** Orders that a later one of their service replaced. */
   std::vector<RolloutOrder> superseded;
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -221,8 +221,24 @@
     this->state.sendGate.Admit(this->ticket, this->isAllowed, time);
   if (refusal) {
     this->lastFailure = ToText(*refusal);
+    return false;
+  }
+  this->RecordExposure();
+  return true;
+}
+
+void
+RequestForwarder::RecordExposure()
+{
+  const Rollout* rollout = this->state.rollouts.Find(this->request.service);
+  const Backend* backend =
+    this->state.backends.Find(this->lastPlacement->backend);
+  const bool counts = rollout != nullptr && backend != nullptr &&
+                      rollout->phase == RolloutPhase::eActive;
+  if (counts) {
+    this->state.exposure.RecordSend(
+      rollout->order, backend->entry.version == rollout->order.target);
   }
-  return !refusal;
 }
 
 void
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -95,6 +95,8 @@
   /** Asks the gate whether the request may be written, once there is a
    * connection to the back end. */
   [[nodiscard]] bool ConfirmSend();
+  /** Counts a send while a rollout of the service is active. */
+  void RecordExposure();
   Task<SendOutcome> Relay(HttpExchange& aExchange, const Placement& aPlacement);
   Task<SendOutcome> RelayBody(HttpExchange& aExchange,
                               const BackendResponseHead& aHead,
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -28,11 +28,15 @@
   , quotaExchange(settings.id)
   , usage(settings.bounds.usageWindow)
   , rollouts(ExposureLimits{ settings.bounds.exposureShare },
-             [this](TimePoint aNow) {
-               return this->statusesReadFor == this->orderSnapshots &&
+             [this](const Rollout& aRollout, TimePoint aNow) {
+               const bool hasRoom = aNow >= aRollout.Deadline() ||
+                                    this->exposure.HasRoom(aRollout.order);
+               return hasRoom &&
+                      this->statusesReadFor == this->orderSnapshots &&
                       this->limitShares.HearsMajority(aNow) &&
                       this->peers.HearsDutyCandidate(aNow);
              })
+  , exposure(settings.bounds.exposureShare)
   , evidence(settings.id.value + "/" + std::to_string(aIncarnation))
   , peers(settings.id)
   , limitShares(settings.id, startedAt)
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -14,6 +14,7 @@
 #include "coord/EngineReach.h"
 #include "coord/EntryRenewals.h"
 #include "coord/Evidence.h"
+#include "coord/ExposureBudget.h"
 #include "coord/FactSet.h"
 #include "coord/LimitShares.h"
 #include "coord/ListRevisions.h"
@@ -130,6 +131,7 @@
    * have ended before; and how many of them the statuses were read for. */
   std::uint64_t orderSnapshots = 0;
   std::uint64_t statusesReadFor = 0;
+  ExposureBudget exposure;
   EvidenceTable evidence;
   PeerTable peers;
   LimitShares limitShares;
--- a/test/VerdictSimulation.cpp
+++ b/test/VerdictSimulation.cpp
@@ -60,7 +60,7 @@
   LimitShares& shares = *daemon.shares;
   PeerTable& peers = *daemon.peers;
   daemon.rollouts = std::make_unique<Rollouts>(
-    ExposureLimits{}, [&shares, &peers](TimePoint aNow) {
+    ExposureLimits{}, [&shares, &peers](const Rollout&, TimePoint aNow) {
       return shares.HearsMajority(aNow) && peers.HearsDutyCandidate(aNow);
     });
   daemon.evidence = std::make_unique<EvidenceTable>(
--- a/test/correctness/RolloutsTest.cpp
+++ b/test/correctness/RolloutsTest.cpp
@@ -1,6 +1,10 @@
 #include "coord/Rollouts.h"
+#include "base/Random.h"
+#include "coord/ExposureBudget.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 namespace toucanshed::test {
 namespace {
@@ -169,13 +173,70 @@
   CHECK_FALSE(unaware.MayUse(kService, kNewVersion, MakeAttempt(1), kStart));
 }
 
+// Guards against a burst in the cutover that brings most of the requests to a
+// version which turns out to be bad.
+TEST_CASE("a new version keeps to its share when the load changes")
+{
+  constexpr int kSeconds = 40;
+  struct Load
+  {
+    const char* name;
+    double (*perSecond)(int aSecond);
+  };
+  const Load loads[] = {
+    { "burst at the end", [](int s) { return s < 36 ? 30.0 : 900.0; } },
+    { "falling", [](int s) { return s < 20 ? 600.0 : 20.0; } },
+    { "even", [](int) { return 200.0; } },
+    { "short peaks", [](int s) { return s % 8 == 7 ? 1000.0 : 10.0; } },
+  };
+  for (const Load& load : loads) {
+    for (const std::size_t daemons : { 7U, 69U, 330U }) {
+      std::vector<std::unique_ptr<ExposureBudget>> budgets;
+      std::vector<std::unique_ptr<Rollouts>> rollouts;
+      const RolloutOrder order{
+        kService, kNewVersion, Millis(kSeconds * 1000), Position{ 5 }
+      };
+      for (std::size_t i = 0; i < daemons; ++i) {
+        budgets.push_back(std::make_unique<ExposureBudget>(0.1));
+        rollouts.push_back(std::make_unique<Rollouts>(
+          ExposureLimits{},
+          [&budget = *budgets.back()](const Rollout& aRollout, TimePoint) {
+            return budget.HasRoom(aRollout.order);
+          }));
+        rollouts.back()->Start(order, kStart);
+      }
+      Random random(11);
+      std::size_t all = 0;
+      std::size_t toTarget = 0;
+      double pending = 0;
+      for (int ms = 0; ms < kSeconds * 1000; ++ms) {
+        pending += load.perSecond(ms / 1000) / 1000;
+        for (; pending >= 1; pending -= 1) {
+          const std::size_t daemon = random.NextBelow(daemons);
+          const bool isNew =
+            rollouts[daemon]->MayUse(kService,
+                                     kNewVersion,
+                                     MakeAttempt(static_cast<int>(++all)),
+                                     kStart + Millis(ms));
+          budgets[daemon]->RecordSend(order, isNew);
+          toTarget += isNew ? 1 : 0;
+        }
+      }
+      INFO(load.name << ", " << daemons << " daemons: " << toTarget << " of "
+                     << all);
+      CHECK(static_cast<double>(toTarget) <= 0.1 * static_cast<double>(all));
+    }
+  }
+}
+
 // Guards against a daemon that sends to a new version while it would not hear
 // that another one has found it bad.
 TEST_CASE("a daemon that hears no others sends a new version nothing")
 {
   bool informed = false;
-  Rollouts rollouts(ExposureLimits{},
-                    [&informed](TimePoint) { return informed; });
+  Rollouts rollouts(ExposureLimits{}, [&informed](const Rollout&, TimePoint) {
+    return informed;
+  });
   rollouts.Start(
     RolloutOrder{ kService, kNewVersion, Millis(40000), Position{ 5 } },
     kStart);
