--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -7,7 +7,6 @@
 #include "StoreClient.h"
 #include "edge/Worker.h"
 
-
 namespace toucanshed {
 
 namespace net = boost::asio;
