--- a/src/serve/StoreWatcher.cpp
+++ b/src/serve/StoreWatcher.cpp
@@ -202,7 +202,8 @@
                            std::string("topic=\"") +
                              NameOf(aSubscription.topic) + "\"");
     }
-    const bool otherEra = next && next->era != aState.storeEra;
+    const bool otherEra =
+      next && next->era != aState.storeEra.value_or(next->era);
     if (otherEra) {
       next.reset(); // other records may have its offset now
     }
--- a/standin/platform/Store.cpp
+++ b/standin/platform/Store.cpp
@@ -176,6 +176,7 @@
 PlatformStore::ReadLatest(const HttpRequest& aRequest)
 {
   ++this->reads;
+  ++this->snapshots;
   Topic& topic = this->topics[QueryParamOf(aRequest.target(), "topic")];
   json::array items;
   for (const auto& [key, entry] : topic.latestByKey) {
@@ -192,7 +193,9 @@
 void
 PlatformStore::StateEra(HttpResponse& aResponse) const
 {
-  aResponse.set("Store-Era", std::to_string(this->era));
+  if (this->statesEra) {
+    aResponse.set("Store-Era", std::to_string(this->era));
+  }
 }
 
 Task<void>
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -43,9 +43,11 @@
   /** Appends get no response and are executed by ExecuteHeldAppends. */
   bool holdAppends = false;
   void ExecuteHeldAppends();
-  std::uint64_t era = 0;                  // stated in each response
+  std::uint64_t era = 0; // stated in each response
+  bool statesEra = true;
   std::size_t maxRecordsPerRead = 100000; // per response to a read
   std::size_t reads = 0;
+  std::size_t snapshots = 0; // of the reads, those of the latest records
   std::size_t appends = 0;
 
 private:
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -85,6 +85,17 @@
   return json::serialize(catalog);
 }
 
+std::map<std::string, std::set<std::string>>
+ReportsByWindow(const standin::PlatformCloud& aCloud)
+{
+  std::map<std::string, std::set<std::string>> reports;
+  for (const auto& call : aCloud.accepted) {
+    const auto comma = call.body.find(',');
+    reports[call.body.substr(0, comma)].insert(call.body);
+  }
+  return reports;
+}
+
 PlatformHarness::PlatformHarness(std::uint16_t aPort)
   : port(aPort)
 {
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -12,7 +12,9 @@
 #include "standin/platform/NetworkPath.h"
 #include "standin/platform/Store.h"
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,4 +131,9 @@
                  const Endpoint& aCloud,
                  std::uint16_t aPeerPort);
 
+/** The distinct report bodies that the cloud accepted, by window. Thread
+ * safety: belongs to the harness's worker. */
+std::map<std::string, std::set<std::string>>
+ReportsByWindow(const standin::PlatformCloud& aCloud);
+
 } // namespace toucanshed::test
--- a/test/failure/DutyTest.cpp
+++ b/test/failure/DutyTest.cpp
@@ -47,18 +47,6 @@
   co_return aCondition();
 }
 
-/** The distinct report bodies that the cloud accepted, by window. */
-std::map<std::string, std::set<std::string>>
-ReportsByWindow(const standin::PlatformCloud& aCloud)
-{
-  std::map<std::string, std::set<std::string>> reports;
-  for (const auto& call : aCloud.accepted) {
-    const auto comma = call.body.find(',');
-    reports[call.body.substr(0, comma)].insert(call.body);
-  }
-  return reports;
-}
-
 } // namespace
 
 TEST_CASE("a duty holder claims once, reports each window once")
--- a/test/failure/StoreRestoreTest.cpp
+++ b/test/failure/StoreRestoreTest.cpp
@@ -6,7 +6,6 @@
 #include "serve/StoreWatcher.h"
 
 #include <catch2/catch.hpp>
-#include <set>
 
 namespace toucanshed::test {
 namespace {
@@ -39,18 +38,6 @@
   }
 }
 
-/** The distinct report bodies that the cloud accepted, by window. */
-std::map<std::string, std::set<std::string>>
-ReportsByWindow(const standin::PlatformCloud& aCloud)
-{
-  std::map<std::string, std::set<std::string>> reports;
-  for (const auto& call : aCloud.accepted) {
-    const auto comma = call.body.find(',');
-    reports[call.body.substr(0, comma)].insert(call.body);
-  }
-  return reports;
-}
-
 } // namespace
 
 // Guards against a daemon that takes its copy of the configuration to be
@@ -103,6 +90,24 @@
   CHECK(late == 0);
 }
 
+// Guards against a daemon that reads everything again and again, since the
+// store states no era.
+TEST_CASE("a store that states no era is read on")
+{
+  PlatformHarness harness(24120);
+  harness.store.statesEra = false;
+  harness.state->catalog = nullptr;
+  WriteCatalog(harness, 3);
+  harness.Run([](PlatformHarness& aHarness) -> Task<void> {
+    aHarness.state->pool.First().Spawn(WatchOperatorTopic(*aHarness.state));
+    co_await Sleep(std::chrono::milliseconds(300));
+    WriteCatalog(aHarness, 4);
+    co_await Sleep(std::chrono::milliseconds(1700));
+  }(harness));
+  CHECK(harness.state->catalog->version == 4);
+  CHECK(harness.store.snapshots == 1);
+}
+
 // Guards against a daemon that starts after the loss and goes by an older
 // configuration, which still has a revoked key.
 TEST_CASE("a daemon that starts after the loss gets the newest configuration")
