A daemon does not claim over one that has just claimed in a new era

Found by reading: after an era has changed a daemon reads the duties' records for the first time again, and took those of a daemon that had claimed a moment before for old ones. It would claim over it, and a third one over both. Now its first read of an era that has records counts as the first read after a start: the next attempt decides.

--- a/src/serve/DutyRunner.cpp
+++ b/src/serve/DutyRunner.cpp
@@ -243,10 +243,14 @@
   if (!caughtUp) {
     co_return;
   }
-  // A daemon that reads the records for the first time cannot tell whether the
-  // latest ones were added just now; its next attempt can.
-  if (std::exchange(this->initialReadSkipped, false) &&
-      !this->IsLatestClaimant()) {
+  // A daemon that reads the records for the first time, or for the first time
+  // in an era, cannot tell whether the latest ones were added just now; its
+  // next attempt can.
+  const bool isFirstRead =
+    std::exchange(this->initialReadSkipped, false) ||
+    (!this->logRead && this->dutyLog.HasCurrentRecords());
+  if (isFirstRead && !this->IsLatestClaimant()) {
+    this->logRead = true;
     co_return;
   }
   // Records that the holder had reported before it became unreachable are no
--- a/test/DutySimulation.cpp
+++ b/test/DutySimulation.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kReportDelayMs = 1500;
 constexpr std::int64_t kReportDeadlineMs = 10000;
 constexpr std::uint64_t kLossOneIn = 20;
+constexpr std::size_t kCandidates = 7; // that may claim next
 
 } // namespace
 
@@ -243,6 +244,22 @@
   }
 }
 
+void
+DutySimulation::TellReports(std::size_t aDaemon)
+{
+  const std::size_t receivers =
+    std::min<std::size_t>(kCandidates, this->daemons.size());
+  for (const auto& known : this->daemons[aDaemon].reported.All()) {
+    const serving::UsageReport report = known.second;
+    const bool isRecent =
+      static_cast<std::int64_t>(report.window() + 3) * kWindowMs > this->now.ms;
+    for (std::size_t to = 0; isRecent && to < receivers; ++to) {
+      this->Send(
+        aDaemon, to, [report](Daemon& aTo) { aTo.reported.Remember(report); });
+    }
+  }
+}
+
 void
 DutySimulation::Run(Millis aDuration)
 {
@@ -265,20 +282,11 @@
       if (daemon.fence.value != 0) {
         this->Report(i);
       }
-      // Those that know reports tell the daemons that may claim next.
-      for (const auto& [window, report] : daemon.reported.All()) {
-        const bool recent =
-          static_cast<std::int64_t>(window + 3) * kWindowMs > this->now.ms;
-        for (std::size_t to = 0; recent && to < 7 && to < this->daemons.size();
-             ++to) {
-          this->Send(
-            i, to, [report](Daemon& aTo) { aTo.reported.Remember(report); });
-        }
-      }
+      this->TellReports(i);
     }
     if (!anyHolder) {
-      this->Claim(
-        this->random.NextBelow(std::min<std::size_t>(7, this->daemons.size())));
+      this->Claim(this->random.NextBelow(
+        std::min<std::size_t>(kCandidates, this->daemons.size())));
     }
   }
 }
--- a/test/correctness/RolloutsTest.cpp
+++ b/test/correctness/RolloutsTest.cpp
@@ -184,10 +184,12 @@
     double (*perSecond)(int aSecond);
   };
   const Load loads[] = {
-    { "burst at the end", [](int s) { return s < 36 ? 30.0 : 900.0; } },
-    { "falling", [](int s) { return s < 20 ? 600.0 : 20.0; } },
-    { "even", [](int) { return 200.0; } },
-    { "short peaks", [](int s) { return s % 8 == 7 ? 1000.0 : 10.0; } },
+    { "burst at the end",
+      [](int aSecond) { return aSecond < 36 ? 30.0 : 900.0; } },
+    { "falling", [](int aSecond) { return aSecond < 20 ? 600.0 : 20.0; } },
+    { "even", [](int /*aSecond*/) { return 200.0; } },
+    { "short peaks",
+      [](int aSecond) { return aSecond % 8 == 7 ? 1000.0 : 10.0; } },
   };
   for (const Load& load : loads) {
     for (const std::size_t daemons : { 7U, 69U, 330U }) {
