A list first read late in an era keeps no engine that has gone

Found by reading: a daemon that takes the list from others reads it itself only when a report is missing. Its first read in an era may come minutes after the store's return, and then an entry that is missing belongs to an engine that has gone: kept for two seconds more, it would get requests beyond the time within which its end must be obeyed. Entries are kept only by reads within two seconds of the return.

--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -185,7 +185,9 @@
     }
   }
   // The first snapshot of an era may lack entries that are written again soon.
-  const bool mayBeLost = aPage.next.era > aState.listReadIn;
+  const bool isRecent =
+    ServingState::Now() - aState.storeEraSince <= StoreOutage::kRelistGrace;
+  const bool mayBeLost = isRecent && aPage.next.era > aState.listReadIn;
   for (const InstanceId& id : missing) {
     RemoveBackend(aState, id, aPage.next, aRead, mayBeLost);
   }
