Plainer words: what is sent and received, not told and heard

Comments, three names (ReceivesFromMajority, ReceivesFromDutyCandidate, SendKnownReports), the event move.reported and one test's title said tell and hear for messages. No logic changes; built, all tests run beside the known reds.

--- a/src/coord/LimitShares.cpp
+++ b/src/coord/LimitShares.cpp
@@ -51,11 +51,11 @@
 LimitShares::CanUseShares(TimePoint aNow) const
 {
   const bool knownToAll = aNow - this->started >= this->peerTimeout;
-  return knownToAll && this->HearsMajority(aNow);
+  return knownToAll && this->ReceivesFromMajority(aNow);
 }
 
 bool
-LimitShares::HearsMajority(TimePoint aNow) const
+LimitShares::ReceivesFromMajority(TimePoint aNow) const
 {
   if (!this->listRead) {
     return false;
--- a/src/coord/LimitShares.h
+++ b/src/coord/LimitShares.h
@@ -51,7 +51,7 @@
 
   /** Whether this daemon receives heartbeats of more than half of all known
    * daemons, itself included. */
-  [[nodiscard]] bool HearsMajority(TimePoint aNow) const;
+  [[nodiscard]] bool ReceivesFromMajority(TimePoint aNow) const;
   /** Whether this daemon may use its shares. */
   [[nodiscard]] bool CanUseShares(TimePoint aNow) const;
   [[nodiscard]] const DaemonId& Self() const { return this->self; }
--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -203,7 +203,7 @@
 }
 
 bool
-PeerTable::HearsDutyCandidate(TimePoint aNow) const
+PeerTable::ReceivesFromDutyCandidate(TimePoint aNow) const
 {
   std::size_t candidates = 0;
   for (const auto& [id, peer] : this->peers) {
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -79,10 +79,10 @@
    * larger part of the peer messages. */
   [[nodiscard]] std::vector<std::string> DutyCandidateAddresses(
     TimePoint aNow) const;
-  /** Whether one of those daemons was heard of just now, or there are no
+  /** Whether one of those daemons sent a heartbeat just now, or there are no
    * others. They gather the evidence about rollouts, and a daemon that is cut
    * off from all of them must know it long before they time out. */
-  [[nodiscard]] bool HearsDutyCandidate(TimePoint aNow) const;
+  [[nodiscard]] bool ReceivesFromDutyCandidate(TimePoint aNow) const;
   /** Daemons that are listed but have sent no heartbeat yet. */
   [[nodiscard]] std::vector<DaemonId> PeersWithoutHeartbeat() const;
   /** Known daemons whose ids precede this one's, live or not. */
--- a/src/coord/ReportedUsage.h
+++ b/src/coord/ReportedUsage.h
@@ -16,7 +16,7 @@
 struct UsageHistory
 {
   TimePoint startedAt;     // of its process
-  TimePoint eraSince;      // when it heard that the store went back; 0: never
+  TimePoint eraSince;      // when it learned that the store went back; 0: never
   bool firstOfEra = false; // its claim is the first record of the era
 };
 
@@ -25,16 +25,16 @@
 enum class AddUpDecision
 {
   eYes,
-  eWait,  // other daemons may still tell of a report
-  eNever, // a report may be lost, and this daemon would not have heard of it
+  eWait,  // other daemons may still send a report
+  eNever, // a report may be lost, and this daemon would not have received it
 };
 
 /**
  * A report may have reached the cloud as soon as it is recorded, so a window's
  * counts must never change after that. The record may be gone: the store keeps
  * it for some seconds, or comes back from an older copy. Therefore each daemon
- * remembers what holders have recorded, and tells those that may be the next
- * holder.
+ * remembers what holders have recorded, and sends it to those that may be the
+ * next holder.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -44,7 +44,7 @@
   /** Windows that are remembered; many more than can still be reported. */
   static constexpr std::size_t kMaxWindows = 20;
 
-  /** After the store went back, the other daemons tell within this time which
+  /** After the store went back, the other daemons send within this time which
    * reports were recorded. */
   static constexpr Millis kSettleTime{ 1500 };
 
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -41,7 +41,7 @@
   RolloutPhase phase = RolloutPhase::eRolledBack;
 };
 
-/** What a daemon tells the others of an order. */
+/** What a daemon reports to the others about an order. */
 struct RolloutReport
 {
   RolloutOrder order; // its record is of offset 0 unless it is the latest one
@@ -103,10 +103,10 @@
  * completes as soon as the new version can serve all traffic, and after
  * kMaxWait in any case: an operator's order may be late, but is never dropped.
  *
- * Any daemon may find a version bad, so one that does not hear what the others
- * know sends the new version nothing. How rollouts ended is remembered beyond
- * the next order: the engines of a version that was rolled back stay for some
- * seconds, and are not part of the old version.
+ * Any daemon may find a version bad, so one that does not receive what the
+ * others know sends the new version nothing. How rollouts ended is remembered
+ * beyond the next order: the engines of a version that was rolled back stay for
+ * some seconds, and are not part of the old version.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -135,7 +135,7 @@
   static constexpr std::size_t kMaxEnded = 32;
 
   /** Whether this daemon may send a rollout's target anything now: whether it
-   * hears what the others know of it, and has a share left. */
+   * receives what the others know of it, and has a share left. */
   using MayUseTarget = std::function<bool(const Rollout&, TimePoint aNow)>;
 
   explicit Rollouts(
--- a/src/coord/WindowedRetryBudget.h
+++ b/src/coord/WindowedRetryBudget.h
@@ -27,8 +27,8 @@
  * requests, takes an equal share of the slack, and leaves a margin.
  *
  * A daemon uses no slack until it has run for a window. Its earlier process may
- * have used the share just before a restart, and until all daemons have heard
- * of each other one that knows too few would take too large a share. The number
+ * have used the share just before a restart, and until all daemons know
+ * each other one that knows too few would take too large a share. The number
  * of daemons never falls: daemons that were lost from sight may be running
  * beyond a cut.
  *
--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -53,7 +53,7 @@
    * \return whether it is recorded. */
   Task<bool> RecordReport(std::uint64_t aWindow);
   /** Whether a window may be added up: no report of it can have been sent whose
-   * record the store has lost, or another daemon would have told of it. */
+   * record the store has lost, or another daemon would have reported it. */
   bool MayAddUp(std::uint64_t aWindow);
   /** Adds up the counts of all daemons. */
   serving::UsageReport AddUp(std::uint64_t aWindow) const;
--- a/src/serve/PeerReceive.cpp
+++ b/src/serve/PeerReceive.cpp
@@ -181,7 +181,7 @@
       this->state.evidence.Rename(*news.renamed, report.order.position);
     }
     if (news.started || news.ended) {
-      this->state.log.Emit(Event("move.heard")
+      this->state.log.Emit(Event("move.reported")
                              .With("service", report.order.service)
                              .With("target", report.order.target)
                              .With("position", report.order.position.value)
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -33,8 +33,8 @@
                                     this->exposure.HasRoom(aRollout.order);
                return hasRoom &&
                       this->statusesReadFor == this->orderSnapshots &&
-                      this->limitShares.HearsMajority(aNow) &&
-                      this->peers.HearsDutyCandidate(aNow);
+                      this->limitShares.ReceivesFromMajority(aNow) &&
+                      this->peers.ReceivesFromDutyCandidate(aNow);
              })
   , exposure(settings.bounds.exposureShare)
   , evidence(settings.id.value + "/" + std::to_string(aIncarnation))
--- a/test/DutySimulation.cpp
+++ b/test/DutySimulation.cpp
@@ -212,7 +212,7 @@
         record.mutable_usage()->set_window(window);
         auto* counts = record.mutable_usage()->add_counts();
         counts->set_team("team-one");
-        // Each daemon has heard of other counts by now.
+        // Each daemon has received other counts by now.
         counts->set_count(this->random.NextBelow(1000000));
       }
       if (!this->Append(aDaemon, std::move(record))) {
@@ -245,7 +245,7 @@
 }
 
 void
-DutySimulation::TellReports(std::size_t aDaemon)
+DutySimulation::SendKnownReports(std::size_t aDaemon)
 {
   const std::size_t receivers =
     std::min<std::size_t>(kCandidates, this->daemons.size());
@@ -282,7 +282,7 @@
       if (daemon.fence.value != 0) {
         this->Report(i);
       }
-      this->TellReports(i);
+      this->SendKnownReports(i);
     }
     if (!anyHolder) {
       this->Claim(this->random.NextBelow(
--- a/test/DutySimulation.h
+++ b/test/DutySimulation.h
@@ -76,8 +76,8 @@
   bool Append(std::size_t aDaemon, serving::DutyRecord aRecord);
   void Claim(std::size_t aDaemon);
   void Report(std::size_t aDaemon);
-  /** Tells those that may claim next which reports the daemon knows. */
-  void TellReports(std::size_t aDaemon);
+  /** Sends to those that may claim next which reports the daemon knows. */
+  void SendKnownReports(std::size_t aDaemon);
   void CallCloud(std::size_t aDaemon, const serving::UsageReport& aReport);
 
   struct HeldAppend
--- a/test/VerdictSimulation.cpp
+++ b/test/VerdictSimulation.cpp
@@ -61,7 +61,8 @@
   PeerTable& peers = *daemon.peers;
   daemon.rollouts = std::make_unique<Rollouts>(
     ExposureLimits{}, [&shares, &peers](const Rollout&, TimePoint aNow) {
-      return shares.HearsMajority(aNow) && peers.HearsDutyCandidate(aNow);
+      return shares.ReceivesFromMajority(aNow) &&
+             peers.ReceivesFromDutyCandidate(aNow);
     });
   daemon.evidence = std::make_unique<EvidenceTable>(
     IdOf(aDaemon).value + "/" + std::to_string(daemon.life));
--- a/test/VerdictSimulation.h
+++ b/test/VerdictSimulation.h
@@ -1,6 +1,6 @@
 /** \file
  * Simulates, in logical time, daemons that move a service's traffic to a
- * version which turns out to be bad, and tell each other about it.
+ * version which turns out to be bad, and report to each other about it.
  */
 #pragma once
 
--- a/test/correctness/RolloutVerdictTest.cpp
+++ b/test/correctness/RolloutVerdictTest.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-// Guards against a rollback that is decided or heard of too late.
+// Guards against a rollback that is decided or spread too late.
 TEST_CASE("a bad version gets no request 5 s after its 50th bad response")
 {
   for (const std::size_t daemons : kSizes) {
@@ -64,7 +64,7 @@
   }
 }
 
-// Guards against a half beyond a cut that does not hear of the verdict.
+// Guards against a half beyond a cut that does not receive the verdict.
 TEST_CASE("a bad version is rolled back on both sides of a cut")
 {
   for (const std::size_t daemons : kSizes) {
--- a/test/correctness/RolloutsTest.cpp
+++ b/test/correctness/RolloutsTest.cpp
@@ -165,7 +165,7 @@
   CHECK(renamed == again.position);
   CHECK(newer.Find(kService)->order.position == before.position);
   CHECK(newer.Active().empty());
-  // One that reads no order at all, as the store has lost it, hears of it.
+  // One that reads no order at all, as the store has lost it, learns of it.
   Rollouts unaware(ExposureLimits{});
   for (const RolloutReport& report : newer.Reports()) {
     unaware.Merge(report, kStart);
@@ -231,9 +231,9 @@
   }
 }
 
-// Guards against a daemon that sends to a new version while it would not hear
+// Guards against a daemon that sends to a new version while it would not learn
 // that another one has found it bad.
-TEST_CASE("a daemon that hears no others sends a new version nothing")
+TEST_CASE("an isolated daemon sends a new version nothing")
 {
   bool informed = false;
   Rollouts rollouts(ExposureLimits{}, [&informed](const Rollout&, TimePoint) {
@@ -248,7 +248,7 @@
   CHECK(NewVersionShare(rollouts, kStart, Millis(39000)) > 0);
 }
 
-// Guards against an order that is read after its end was heard of.
+// Guards against an order that is read after its end was received.
 TEST_CASE("an order whose end is known already does not start")
 {
   Rollouts rollouts(ExposureLimits{});
--- a/test/failure/StoreRestoreTest.cpp
+++ b/test/failure/StoreRestoreTest.cpp
@@ -20,7 +20,7 @@
     kOperator, "config", PlatformHarness::CatalogText(aVersion));
 }
 
-/** Keeps a daemon from reading the store for the others: it hears many, of
+/** Keeps a daemon from reading the store for the others: it knows many, of
  * which some would read before it. */
 Task<void>
 KeepFromReading(ServingState& aState)
