Log all shared sections of the prompts of requests that broke off

The log of a crash named the last shared section only, so a section that comes earlier in the prompt could not be told from its neighbours. No logic changes.

--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -92,6 +92,16 @@
   return aPrompt.size() < 2 ? std::string{} : aPrompt[aPrompt.size() - 2].id;
 }
 
+std::string
+SharedSectionIds(const std::vector<PromptSection>& aPrompt)
+{
+  std::string ids;
+  for (std::size_t i = 0; i + 1 < aPrompt.size(); ++i) {
+    ids += (ids.empty() ? "" : ",") + aPrompt[i].id;
+  }
+  return ids;
+}
+
 double
 Placer::ExpectedMs(const Backend& aBackend, std::uint64_t aTokens) const
 {
--- a/src/coord/Placement.h
+++ b/src/coord/Placement.h
@@ -61,6 +61,10 @@
 std::string
 SharedSectionId(const std::vector<PromptSection>& aPrompt);
 
+/** Ids of all sections that other requests may share, separated by commas. */
+std::string
+SharedSectionIds(const std::vector<PromptSection>& aPrompt);
+
 /**
  * Sends a request to an engine that caches its shared section, unless the queue
  * there costs more than prefilling the section again elsewhere. A section that
--- a/src/serve/RequestLog.cpp
+++ b/src/serve/RequestLog.cpp
@@ -65,6 +65,7 @@
       .With("engine_rest_ms", this->engineRest.count())
       .With("expected_ms", static_cast<std::int64_t>(aPlacement.expectedMs))
       .With("ahead_tokens", aPlacement.queuedTokens)
+      .With("shared_sections", SharedSectionIds(this->request.incoming.prompt))
       .With("events", this->splitter.ReturnedCount()));
 }
 
