Test: a section of prompts crashes one engine after the other (red)

Two daemons, six engines that crash when they begin to write a response to a prompt with one section and are back after 0.3 s; one request in five has it, no two requests are alike, the sound ones share their first section with it. Callers of such requests get 502, callers that run beside them a broken stream.

The stand-in engine plays the section; the harness brings engines back as later incarnations and has callers at the second daemon.

--- a/standin/platform/Engine.cpp
+++ b/standin/platform/Engine.cpp
@@ -35,6 +35,22 @@
   return response;
 }
 
+void
+PlatformEngine::Crash()
+{
+  ++this->crashes;
+  this->onCrash();
+}
+
+bool
+PlatformEngine::Crashes(const HttpRequest& aRequest) const
+{
+  const std::string prompt = "," + HeaderOf(aRequest, "Prefix-Hash");
+  const auto section = prompt.find("," + this->crashingSection + ":");
+  return !this->crashingSection.empty() && section != std::string::npos &&
+         section < prompt.rfind(',');
+}
+
 Task<void>
 PlatformEngine::Stream(const HttpRequest& aRequest,
                        ScriptedResponse aScripted,
@@ -50,10 +66,19 @@
   const std::uint64_t end = disconnects
                               ? next + aScripted.eventsBeforeDisconnect
                               : this->eventsPerStream;
-  for (; next < end; ++next) {
+  const std::uint64_t crashesBefore = this->crashes;
+  co_await Sleep(this->eventInterval);
+  if (this->crashes == crashesBefore && this->Crashes(aRequest)) {
+    this->Crash();
+  }
+  for (; next < end && this->crashes == crashesBefore; ++next) {
     std::string event = "id: " + std::to_string(next) + "\ndata: token-" +
                         std::to_string(next) + "\n\n";
     co_await aResponder.Write(std::move(event));
+    co_await Sleep(this->eventInterval);
+  }
+  if (this->crashes != crashesBefore) {
+    co_return;
   }
   if (!disconnects) {
     co_await aResponder.End();
--- a/standin/platform/Engine.h
+++ b/standin/platform/Engine.h
@@ -9,6 +9,7 @@
 #include "edge/Worker.h"
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -65,8 +66,16 @@
   bool leaving = false;  // reported in each response
   std::string rest;      // seconds, in each rejection; empty: none
   std::uint64_t eventsPerStream = 5; // the event IDs start at 0
+  std::chrono::milliseconds eventInterval{ 0 };
+  /** The engine crashes when it begins to write the response to a prompt that
+   * has this section, unless it is the last one; empty: none. */
+  std::string crashingSection;
+  std::function<void()> onCrash = [] {};
+  /** Ends all responses in progress where they are, as a crash does. */
+  void Crash();
 
 private:
+  [[nodiscard]] bool Crashes(const HttpRequest& aRequest) const;
   Task<void> Stream(const HttpRequest& aRequest,
                     ScriptedResponse aStep,
                     HttpResponder& aResponder);
@@ -74,6 +83,7 @@
                                 unsigned aStatus) const;
 
   std::string id;
+  std::uint64_t crashes = 0;
 };
 
 } // namespace toucanshed::standin
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -148,24 +148,73 @@
   engine = std::make_unique<standin::PlatformEngine>(aId);
   engine->streams = aService == "model";
   standin::PlatformEngine& engineRef = *engine;
-  const Endpoint endpoint = this->StartServer(
-    [&engineRef](
-      Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
-      return engineRef.Handle(aRequest, aResponder);
-    });
-  this->engineServers[aId] = this->servers.back().get();
+  const Endpoint endpoint(boost::asio::ip::address_v4::loopback(),
+                          this->port++);
+  this->StartEngineServer(aId, endpoint);
   this->engineAddresses[aId] = { aService, endpoint };
   this->engineZones[aId] = aZone;
   this->state->backends.Put(*platform::ParseBackendEntry(aId, EntryOf(aId)));
   return engineRef;
 }
 
+void
+PlatformHarness::StartEngineServer(const std::string& aId,
+                                   const Endpoint& aEndpoint)
+{
+  standin::PlatformEngine& engine = *this->engines.at(aId);
+  auto server = std::make_unique<HttpServer>(
+    this->state->pool,
+    HttpLimits{},
+    [&engine](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+      return engine.Handle(aRequest, aResponder);
+    });
+  const auto listening = server->Listen(aEndpoint);
+  if (!listening) {
+    throw std::runtime_error(listening.error().message);
+  }
+  this->engineServers[aId] = server.get();
+  this->servers.push_back(std::move(server));
+}
+
 void
 PlatformHarness::StopEngine(const std::string& aId)
 {
   this->engineServers.at(aId)->Close();
 }
 
+void
+PlatformHarness::CrashEngine(const std::string& aId, Millis aReturnDelay)
+{
+  this->StopEngine(aId);
+  this->state->pool.First().Spawn(this->ReturnEngine(aId, aReturnDelay));
+}
+
+void
+PlatformHarness::CrashEnginesAt(const std::string& aSection,
+                                Millis aReturnDelay)
+{
+  for (const auto& [id, engine] : this->engines) {
+    engine->crashingSection = aSection;
+    engine->onCrash = [this, id = id, aReturnDelay] {
+      ++this->crashed;
+      this->CrashEngine(id, aReturnDelay);
+    };
+  }
+}
+
+Task<void>
+PlatformHarness::ReturnEngine(std::string aId, Millis aDelay)
+{
+  co_await Sleep(aDelay);
+  this->StartEngineServer(aId, this->engineAddresses.at(aId).second);
+  this->engineIncarnations.try_emplace(aId, 1).first->second += 1;
+  const auto entry = platform::ParseBackendEntry(aId, this->EntryOf(aId));
+  this->state->backends.Put(*entry);
+  if (this->peerState) {
+    this->peerState->backends.Put(*entry);
+  }
+}
+
 namespace {
 
 /** Runs another daemon's event loop on this worker. */
@@ -264,6 +313,17 @@
   if (!this->servers.back()->Listen(relays)) {
     throw std::runtime_error("cannot listen for relayed requests");
   }
+  this->peerCallers = Endpoint(boost::asio::ip::address_v4::loopback(),
+                               static_cast<std::uint16_t>(peerPort + 1));
+  this->servers.push_back(std::make_unique<HttpServer>(
+    this->peerState->pool,
+    HttpLimits{},
+    [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+      return HandleCallerRequest(*this->peerState, aRequest, aResponder);
+    }));
+  if (!this->servers.back()->Listen(this->peerCallers)) {
+    throw std::runtime_error("cannot listen for the second daemon's callers");
+  }
   const std::string host = own.address + ":";
   this->state->peers.AddPeer(this->peerState->settings.id,
                              host + std::to_string(peerPort));
@@ -286,17 +346,32 @@
 {
   constexpr int kSlots = 8;
   const std::string& service = this->engineAddresses.at(aId).first;
+  const auto restarted = this->engineIncarnations.find(aId);
+  const std::int64_t born =
+    restarted == this->engineIncarnations.end() ? 1 : restarted->second;
   return json::serialize(json::object{ { "service", service },
                                        { "address", ToText(aAddress) },
                                        { "zone", this->engineZones.at(aId) },
                                        { "version", "v1" },
                                        { "slots", kSlots },
                                        { "state", aState },
-                                       { "born", 1 } });
+                                       { "born", born } });
 }
 
 Task<CallerResponse>
 PlatformHarness::SendRequest(CallerMessage aMessage)
+{
+  return this->SendTo(this->callers, std::move(aMessage));
+}
+
+Task<CallerResponse>
+PlatformHarness::SendRequestToPeer(CallerMessage aMessage)
+{
+  return this->SendTo(this->peerCallers, std::move(aMessage));
+}
+
+Task<CallerResponse>
+PlatformHarness::SendTo(Endpoint aDaemon, CallerMessage aMessage)
 {
   HttpRequest request =
     MakeRequest(http::verb::post, aMessage.path, std::move(aMessage.body));
@@ -309,7 +384,7 @@
   }
   CallerResponse response;
   auto exchange = co_await HttpExchange::Open(this->state->pool.First(),
-                                              this->callers,
+                                              aDaemon,
                                               std::move(request),
                                               CallTimeouts{},
                                               true);
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -81,16 +81,25 @@
   /** Makes the next request hang at each engine. */
   void HangNextRequests();
   /** Starts a second daemon, which exchanges heartbeats with the first and
-   * knows the engines that were added. It uses the port after the harness's
-   * ten. Precondition: called once. */
+   * knows the engines that were added. It uses the two ports after the
+   * harness's ten. Precondition: called once. */
   ServingState& AddPeerDaemon();
   /** Makes the engine stop listening, as a crashed one does. */
   void StopEngine(const std::string& aId);
+  /** The engines crash at prompts with the section, and each is back after the
+   * time, as a later incarnation. */
+  void CrashEnginesAt(const std::string& aSection, Millis aReturnDelay);
+  /** Ends the engine's responses; it is back after the time. */
+  void CrashEngine(const std::string& aId, Millis aReturnDelay);
+  /** Incarnations of engines that have crashed. */
+  [[nodiscard]] std::size_t CrashedEngines() const { return this->crashed; }
   /** An engine's entry, as the engine writes it to the store. */
   std::string EntryOf(const std::string& aId,
                       const std::string& aState = "ready") const;
   /** Sends one request to the daemon. */
   Task<CallerResponse> SendRequest(CallerMessage aMessage);
+  /** Sends one request to the second daemon. Precondition: AddPeerDaemon. */
+  Task<CallerResponse> SendRequestToPeer(CallerMessage aMessage);
   /** Sends requests one after the other.
    * \return the number of those that got a 200 */
   Task<std::size_t> SendRequests(std::size_t aCount);
@@ -103,6 +112,9 @@
 
 private:
   Endpoint StartServer(HttpHandler aHandler);
+  void StartEngineServer(const std::string& aId, const Endpoint& aEndpoint);
+  Task<void> ReturnEngine(std::string aId, Millis aDelay);
+  Task<CallerResponse> SendTo(Endpoint aDaemon, CallerMessage aMessage);
   /** An entry with another address than the engine's own. */
   std::string EntryAt(const std::string& aId,
                       const std::string& aState,
@@ -110,11 +122,14 @@
 
   std::uint16_t port;
   Endpoint callers;
+  Endpoint peerCallers;
   std::vector<std::unique_ptr<HttpServer>> servers;
   std::map<std::string, std::unique_ptr<standin::PlatformEngine>> engines;
   std::map<std::string, std::pair<std::string, Endpoint>> engineAddresses;
   std::map<std::string, std::string> engineZones;
   std::map<std::string, HttpServer*> engineServers;
+  std::map<std::string, std::int64_t> engineIncarnations; // 1 if missing
+  std::size_t crashed = 0;
   std::map<std::string, std::unique_ptr<standin::NetworkPath>> paths;
   std::unique_ptr<PeerMessenger> messenger;
   std::unique_ptr<ServingState> peerState;
