A response that ends with its connection is whole only if its engine lives

Responses may come with neither length nor chunks.

The connection tells nothing, the signature and the media type neither, so at such an end the daemon opens a connection to the engine: one that refuses it has crashed, and the response counts as broken (resumed or repeated where that is allowed). For streams that costs no caller time before the last event; a response with a length or chunks is not checked. The stand-in RawEngine gives responses as bytes.

An engine whose port is still open that moment is taken for alive; a drained engine that ends is expected.

--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -112,6 +112,13 @@
   [[nodiscard]] unsigned Status() const;
   [[nodiscard]] const http::fields& Headers() const;
 
+  /** Whether the body has neither a length nor chunks: it ends with its
+   * connection, and one that was cut off may look complete. */
+  [[nodiscard]] bool EndsWithConnection() const
+  {
+    return this->parser->need_eof();
+  }
+
   /** Returns the next chunk of the body; nothing if the body is complete. */
   Task<CallResult<std::optional<std::string>>> ReadChunk();
 
--- a/src/serve/CrashProbe.cpp
+++ b/src/serve/CrashProbe.cpp
@@ -33,7 +33,9 @@
   if (!endpoint) {
     co_return false;
   }
-  co_await Sleep(kProbeDelay);
+  if (aCheck.broken) {
+    co_await Sleep(kProbeDelay);
+  }
   boost::system::error_code error;
   boost::beast::tcp_stream probe(aState.pool.First().context);
   probe.expires_after(kConnectTimeout);
--- a/src/serve/CrashProbe.h
+++ b/src/serve/CrashProbe.h
@@ -22,6 +22,9 @@
   std::int64_t incarnation = 0; // that the request was sent to
   AttemptId request;
   Millis sentAgo{ 0 };
+  /** Whether the response broke off. If not, it ended with its connection and
+   * may be complete. */
+  bool broken = true;
   /** What may have crashed the back end; empty when the response had been
    * written for some time. */
   std::vector<SuspectId> suspects;
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -283,6 +283,7 @@
   this->engineLeaving = false;
   this->engineRest = Millis(0);
   this->writtenRecorded = false;
+  this->crashKnown = false;
   this->progressAt = TimePoint{};
 }
 
@@ -415,17 +416,45 @@
                                     CrashSuspects::kWriteTime;
 }
 
-Task<void>
-RequestForwarder::CheckForCrash(InstanceId aBackend)
+CrashCheck
+RequestForwarder::MakeCrashCheck(const InstanceId& aBackend) const
 {
   CrashCheck check;
-  check.backend = std::move(aBackend);
+  check.backend = aBackend;
   check.incarnation = this->ticket.incarnation;
   check.request = this->request.incoming.attempt;
   check.sentAgo = ServingState::Now() - this->sentAt;
   if (!this->IsWritten()) {
     check.suspects = this->request.suspects;
   }
+  return check;
+}
+
+Task<bool>
+RequestForwarder::EndedByCrash(const HttpExchange& aExchange,
+                               InstanceId aBackend)
+{
+  const bool isCertain = !aExchange.EndsWithConnection() || !this->peer.Empty();
+  if (isCertain) {
+    co_return false;
+  }
+  CrashCheck check = this->MakeCrashCheck(aBackend);
+  check.broken = false;
+  this->crashKnown = co_await RecordIfCrashed(this->state, std::move(check));
+  if (this->crashKnown) {
+    this->lastFailure = "the back end crashed as its response ended";
+    this->mayHaveCrashed = !this->IsWritten();
+  }
+  co_return this->crashKnown;
+}
+
+Task<void>
+RequestForwarder::CheckForCrash(InstanceId aBackend)
+{
+  if (this->crashKnown) {
+    co_return;
+  }
+  CrashCheck check = this->MakeCrashCheck(aBackend);
   const bool repeatable =
     !this->request.relayed && IsRetrySafe(this->request.route->kind);
   const bool isSound =
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -21,6 +21,7 @@
 
 class BackendLoadGuard;
 struct BackendResponseHead;
+struct CrashCheck;
 struct NamedLimit;
 struct ServingState;
 
@@ -105,8 +106,12 @@
   [[nodiscard]] bool IsWritten() const;
   /** Records once that the current response was written. */
   void RecordWritten();
+  [[nodiscard]] CrashCheck MakeCrashCheck(const InstanceId& aBackend) const;
   /** Finds out whether the back end of a broken response has crashed. */
   Task<void> CheckForCrash(InstanceId aBackend);
+  /** Whether the response ended because its back end crashed. Only one that
+   * ends with its connection can look complete then. */
+  Task<bool> EndedByCrash(const HttpExchange& aExchange, InstanceId aBackend);
   /** Asks the gate whether the request may be written, once there is a
    * connection to the back end. */
   [[nodiscard]] bool ConfirmSend();
@@ -175,6 +180,7 @@
   bool timedOut = false;        // by a timeout
   FailureCause failureCause = FailureCause::eEngine; // of the current send
   bool mayHaveCrashed = false;  // a back end, and might crash the next one
+  bool crashKnown = false;      // of the current send's back end
   bool writtenRecorded = false; // the current response
   bool responseFailed = false;  // the current response reports a failure
   bool engineLeaving = false;   // by the current response
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -207,6 +207,11 @@
     this->lastFailure = "the stream ended within an event";
     co_return SendOutcome::eMayHaveRun;
   }
+  const bool crashed =
+    co_await this->EndedByCrash(aExchange, aPlacement.backend);
+  if (crashed) {
+    co_return SendOutcome::eMayHaveRun;
+  }
   co_await this->responder.End();
   this->RecordWritten();
   this->state.backends.RecordSuccess(aPlacement.backend);
@@ -276,6 +281,11 @@
     }
     response.body() += **piece;
   }
+  const bool crashed =
+    co_await this->EndedByCrash(aExchange, aPlacement.backend);
+  if (crashed) {
+    co_return SendOutcome::eMayHaveRun;
+  }
   this->state.backends.RecordProgress(aPlacement.backend, ServingState::Now());
   const bool failed = status >= kServerError;
   this->responseFailed = failed;
--- /dev/null
+++ b/standin/platform/RawEngine.cpp
@@ -0,0 +1,78 @@
+#include "RawEngine.h"
+
+#include "edge/HttpTypes.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace toucanshed::standin {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+RawEngine::RawEngine(Worker& aWorker, const Endpoint& aEndpoint)
+  : worker(aWorker)
+  , acceptor(aWorker.context, aEndpoint)
+{
+  this->worker.Spawn(this->Accept());
+}
+
+void
+RawEngine::Stop()
+{
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+}
+
+Task<void>
+RawEngine::Accept()
+{
+  while (this->acceptor.is_open()) {
+    boost::system::error_code error;
+    tcp::socket socket = co_await this->acceptor.async_accept(
+      net::redirect_error(net::use_awaitable, error));
+    if (!error) {
+      this->worker.Spawn(this->Serve(std::move(socket)));
+    }
+  }
+}
+
+Task<void>
+RawEngine::Serve(tcp::socket aSocket)
+{
+  boost::system::error_code error;
+  boost::beast::flat_buffer buffer;
+  HttpRequest request;
+  co_await http::async_read(
+    aSocket, buffer, request, net::redirect_error(net::use_awaitable, error));
+  if (error) {
+    co_return; // a connection without a request
+  }
+  ++this->requests;
+  constexpr std::string_view kPlaceholder = "ATTEMPT";
+  std::string bytes = this->response;
+  const auto attempt = bytes.find(kPlaceholder);
+  if (attempt != std::string::npos) {
+    bytes.replace(
+      attempt, kPlaceholder.size(), HeaderOf(request, "Attempt-Id"));
+  }
+  if (this->stopsAfterResponse) {
+    this->Stop();
+  }
+  co_await net::async_write(aSocket,
+                            net::buffer(bytes),
+                            net::redirect_error(net::use_awaitable, error));
+  if (this->end == ConnectionEnd::eReset) {
+    // Until the bytes have been read: a reset discards them.
+    co_await Sleep(std::chrono::milliseconds(50));
+    aSocket.set_option(net::socket_base::linger(true, 0), error);
+  } else {
+    aSocket.shutdown(tcp::socket::shutdown_both, error);
+  }
+  aSocket.close(error);
+}
+
+} // namespace toucanshed::standin
--- /dev/null
+++ b/standin/platform/RawEngine.h
@@ -0,0 +1,52 @@
+/** \file
+ * A stand-in for an engine whose responses are bytes that a test gives, for
+ * framings that an HTTP server does not produce.
+ */
+#pragma once
+
+#include "edge/Endpoint.h"
+#include "edge/Task.h"
+#include "edge/Worker.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <string>
+
+namespace toucanshed::standin {
+
+/** How the connection ends after the response. */
+enum class ConnectionEnd
+{
+  eClose,
+  eReset,
+};
+
+/** Each connection serves one request: the response, in which ATTEMPT is
+ * replaced by the request's attempt ID, then the end of the connection.
+ *
+ * Thread safety: none; belongs to the worker. */
+class RawEngine
+{
+public:
+  /** Precondition: the port is free. */
+  RawEngine(Worker& aWorker, const Endpoint& aEndpoint);
+  RawEngine(const RawEngine&) = delete;
+  RawEngine& operator=(const RawEngine&) = delete;
+
+  /** Stops listening, as a crash does. */
+  void Stop();
+
+  std::string response;
+  ConnectionEnd end = ConnectionEnd::eClose;
+  bool stopsAfterResponse = false;
+  std::size_t requests = 0;
+
+private:
+  Task<void> Accept();
+  Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+
+  Worker& worker;
+  boost::asio::ip::tcp::acceptor acceptor;
+};
+
+} // namespace toucanshed::standin
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -157,6 +157,21 @@
   return engineRef;
 }
 
+standin::RawEngine&
+PlatformHarness::AddRawEngine(const std::string& aId,
+                              const std::string& aService)
+{
+  const Endpoint endpoint(boost::asio::ip::address_v4::loopback(),
+                          this->port++);
+  auto& engine = this->rawEngines[aId];
+  engine =
+    std::make_unique<standin::RawEngine>(this->state->pool.First(), endpoint);
+  this->engineAddresses[aId] = { aService, endpoint };
+  this->engineZones[aId] = "zone-1";
+  this->state->backends.Put(*platform::ParseBackendEntry(aId, EntryOf(aId)));
+  return *engine;
+}
+
 void
 PlatformHarness::StartEngineServer(const std::string& aId,
                                    const Endpoint& aEndpoint)
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -10,6 +10,7 @@
 #include "standin/platform/Cloud.h"
 #include "standin/platform/Engine.h"
 #include "standin/platform/NetworkPath.h"
+#include "standin/platform/RawEngine.h"
 #include "standin/platform/Store.h"
 
 #include <map>
@@ -65,6 +66,9 @@
   standin::PlatformEngine& AddEngine(const std::string& aId,
                                      const std::string& aService,
                                      const std::string& aZone = "zone-1");
+  /** Adds an engine whose responses are given as bytes. */
+  standin::RawEngine& AddRawEngine(const std::string& aId,
+                                   const std::string& aService);
   /** Puts a path that can be cut between the daemon and each engine that was
    * added; other daemons still connect to the engines directly. */
   void AddPaths();
@@ -125,6 +129,7 @@
   Endpoint peerCallers;
   std::vector<std::unique_ptr<HttpServer>> servers;
   std::map<std::string, std::unique_ptr<standin::PlatformEngine>> engines;
+  std::map<std::string, std::unique_ptr<standin::RawEngine>> rawEngines;
   std::map<std::string, std::pair<std::string, Endpoint>> engineAddresses;
   std::map<std::string, std::string> engineZones;
   std::map<std::string, HttpServer*> engineServers;
