One daemon that gets most requests uses the other daemons' parts of limits

The platform may hand most new connections of a zone or region to one daemon. Engines' rate limits and their bounds on rejections are divided evenly among the daemons, so it had an Nth of what its callers needed while the other parts lay idle, and refused the rest.

A request that all back ends refuse for their limits goes once through a daemon that holds a part of one of them, with the relay that was there for daemons cut off from engines, under that daemon's gate.

Looked at beside it: retries (a share of the daemon's own requests, so they move with the load), permits of warm-ups (granted to all by one owner), team quotas (429s, reported at once), exposure (a share of the daemon's own sends). EngineDemand still multiplies the duty holder's own request rate by the number of daemons. Not taken: lending parts, which needs a second message for each part and a bound on what is lent twice when it is lost.

--- a/src/serve/PeerSend.cpp
+++ b/src/serve/PeerSend.cpp
@@ -1,10 +1,11 @@
 // The part of RequestForwarder that sends a request through another daemon
-// while this one reaches no engine. RequestForwarder.cpp has the decisions
-// before and after it.
+// while this one reaches no engine or may send to none. RequestForwarder.cpp
+// has the decisions before and after it.
 #include "RequestForwarder.h"
 
 #include "RelayFields.h"
 #include "ServingState.h"
+#include "base/Hash.h"
 
 #include <algorithm>
 
@@ -52,11 +53,40 @@
   return sameRegion || this->IsRegionAllowed(aZone);
 }
 
+bool
+RequestForwarder::IsBeyondOwnParts() const
+{
+  const bool limited = this->waitReason == GateRefusal::eRateLimited ||
+                       this->waitReason == GateRefusal::eBrittle;
+  return this->allRefused && limited && !this->request.relayed;
+}
+
+void
+RequestForwarder::KeepPartHolders(
+  std::vector<RelayCandidate>& aCandidates) const
+{
+  std::set<DaemonId> holders;
+  for (const Backend* backend :
+       this->state.backends.ForService(this->request.service)) {
+    holders.insert(this->state.limitShares.FirstHolder(
+      Hash64(backend->entry.id.value), ServingState::Now()));
+  }
+  const auto holdsNone = [&](const RelayCandidate& aCandidate) {
+    return !holders.contains(aCandidate.id);
+  };
+  const bool any =
+    !std::all_of(aCandidates.begin(), aCandidates.end(), holdsNone);
+  if (any) {
+    std::erase_if(aCandidates, holdsNone);
+  }
+}
+
 std::optional<RelayCandidate>
 RequestForwarder::ChoosePeer()
 {
   const bool mayRelay =
-    !this->request.relayed && this->state.engineReach.IsCut();
+    !this->request.relayed &&
+    (this->beyondOwnParts || this->state.engineReach.IsCut());
   if (!mayRelay) {
     return std::nullopt;
   }
@@ -70,6 +100,9 @@
     refusedInZone = refusedInZone || (tried && aCandidate.zone == ownZone);
     return tried || !this->MayRelayThrough(aCandidate.zone);
   });
+  if (this->beyondOwnParts) {
+    this->KeepPartHolders(candidates);
+  }
   return this->state.relayChoice.Choose(
     candidates, ownZone, !refusedInZone, this->state.random, now);
 }
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -164,6 +164,12 @@
     co_await Sleep(kPermitPollInterval);
     co_return Step::eAgain;
   }
+  const bool otherParts =
+    !placement && !this->beyondOwnParts && this->IsBeyondOwnParts();
+  if (otherParts) {
+    this->beyondOwnParts = true; // ChoosePeer finds a daemon with a part
+    co_return Step::eAgain;
+  }
   if (!placement) {
     if (this->lastFailure.empty()) {
       this->lastFailure =
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -69,8 +69,14 @@
   /** Sends through another daemon. */
   Task<Step> TryPeer(RelayCandidate aPeer);
   /** Chooses the daemon to send through; nothing while this one reaches
-   * engines itself, for relayed requests, and when no other does. */
+   * engines itself and may send to them, for relayed requests, and when no
+   * other does. */
   std::optional<RelayCandidate> ChoosePeer();
+  /** Whether this daemon's parts of the back ends' limits are used up, so that
+   * the request goes through one whose parts may be idle. */
+  [[nodiscard]] bool IsBeyondOwnParts() const;
+  /** Keeps the daemons that hold a part of a back end's limit, if any does. */
+  void KeepPartHolders(std::vector<RelayCandidate>& aCandidates) const;
   /** Whether the request may pass through a daemon of the failure domain. */
   [[nodiscard]] bool MayRelayThrough(const ZoneId& aZone) const;
   Task<SendOutcome> SendToPeer(RelayCandidate aPeer);
@@ -158,6 +164,7 @@
   EventSplitter splitter;
   std::set<InstanceId> triedBackends;
   std::set<DaemonId> triedPeers;
+  bool beyondOwnParts = false;
   DaemonId peer; // through which the current send goes; empty: none
   std::optional<Placement> lastPlacement;
   IsAllowedByOrders isAllowed;
