--- /dev/null
+++ b/test/correctness/CrashSuspectsTest.cpp
@@ -0,0 +1,134 @@
+#include "coord/CrashSuspects.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace toucanshed {
+namespace {
+
+const SuspectId kSection{ 1 };
+const SuspectId kRequest{ 2 };
+
+CrashSuspects
+MakeSuspects()
+{
+  return CrashSuspects([] { return std::size_t{ 20 }; });
+}
+
+EngineCrash
+CrashAt(std::uint64_t aEngine, std::int64_t aMs)
+{
+  constexpr std::int64_t kRunning = 50;
+  return EngineCrash{ EngineLife{ aEngine },
+                      TimePoint{ aMs - kRunning },
+                      TimePoint{ aMs } };
+}
+
+/** Three crashes in a row, the last one at 3000. */
+std::vector<SuspectReport>
+BlockSection(CrashSuspects& aSuspects)
+{
+  std::vector<SuspectReport> sent;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    const auto at = static_cast<std::int64_t>(i) * 1000;
+    aSuspects.RecordCrash({ kSection }, CrashAt(i, at), TimePoint{ at });
+    for (const SuspectReport& report : aSuspects.TakeUrgent()) {
+      sent.push_back(report);
+    }
+  }
+  return sent;
+}
+
+} // namespace
+
+TEST_CASE("three crashes in a row block a suspect")
+{
+  CrashSuspects suspects = MakeSuspects();
+  const TimePoint now{ 3001 };
+  BlockSection(suspects);
+  CHECK(suspects.SuspicionOf({ kSection }, now) == CrashSuspicion::eBlocked);
+  CHECK(suspects.SuspicionOf({ kRequest }, now) == CrashSuspicion::eClear);
+  CHECK(suspects.Unrecorded(StoreEra{ 4 }, now).size() == 1);
+  suspects.MarkRecorded(kSection, StoreEra{ 4 });
+  CHECK(suspects.Unrecorded(StoreEra{ 4 }, now).empty());
+  CHECK(suspects.Unrecorded(StoreEra{ 5 }, now).size() == 1);
+}
+
+TEST_CASE("crashes of requests that ran at the same time count once")
+{
+  CrashSuspects suspects = MakeSuspects();
+  for (std::uint64_t engine = 1; engine <= 5; ++engine) {
+    suspects.RecordCrash(
+      { kSection }, CrashAt(engine, 1000), TimePoint{ 1000 });
+  }
+  CHECK(suspects.SuspicionOf({ kSection }, TimePoint{ 1001 }) ==
+        CrashSuspicion::eSerialized);
+}
+
+TEST_CASE("a written response clears the sections of its request")
+{
+  CrashSuspects suspects = MakeSuspects();
+  suspects.RecordCrash(
+    { kSection, kRequest }, CrashAt(1, 1000), TimePoint{ 1000 });
+  suspects.RecordCrash({ kSection }, CrashAt(2, 2000), TimePoint{ 2000 });
+  suspects.RecordPass({ kSection }, TimePoint{ 2500 }, TimePoint{ 2800 });
+  suspects.RecordCrash({ kSection }, CrashAt(3, 9000), TimePoint{ 9000 });
+  const TimePoint now{ 9001 };
+  CHECK(suspects.SuspicionOf({ kSection }, now) == CrashSuspicion::eClear);
+  CHECK(suspects.SuspicionOf({ kRequest }, now) == CrashSuspicion::eSerialized);
+}
+
+TEST_CASE("reports of a suspect give the same result in any order")
+{
+  CrashSuspects source = MakeSuspects();
+  std::vector<SuspectReport> reports = BlockSection(source);
+  std::reverse(reports.begin(), reports.end());
+  CrashSuspects other = MakeSuspects();
+  const TimePoint now{ 3100 };
+  for (int round = 0; round < 2; ++round) {
+    for (const SuspectReport& report : reports) {
+      other.Merge(report, now);
+    }
+  }
+  CHECK(other.SuspicionOf({ kSection }, now) == CrashSuspicion::eBlocked);
+  CrashSuspects starting = MakeSuspects();
+  for (const SuspectReport& report : other.HeartbeatReports(now)) {
+    starting.Merge(report, now);
+  }
+  CHECK(starting.SuspicionOf({ kSection }, now) == CrashSuspicion::eBlocked);
+}
+
+TEST_CASE("after a block one request is tried, and a crash renews it")
+{
+  CrashSuspects suspects = MakeSuspects();
+  BlockSection(suspects);
+  const TimePoint later = TimePoint{ 3000 } + CrashSuspects::kBlockTime;
+  suspects.Expire(later);
+  CHECK(suspects.SuspicionOf({ kSection }, later) ==
+        CrashSuspicion::eSerialized);
+  CHECK(suspects.GrantTrial(kSection, later).granted);
+  CHECK_FALSE(suspects.GrantTrial(kSection, later + Millis(100)).granted);
+  suspects.RecordCrash(
+    { kSection }, CrashAt(9, later.ms + 200), later + Millis(200));
+  CHECK(suspects.SuspicionOf({ kSection }, later + Millis(300)) ==
+        CrashSuspicion::eBlocked);
+  CHECK_FALSE(suspects.GrantTrial(kSection, later + Millis(300)).granted);
+}
+
+TEST_CASE("a response that was written after a block lifts it")
+{
+  CrashSuspects suspects = MakeSuspects();
+  BlockSection(suspects);
+  suspects.RecordPass({ kSection }, TimePoint{ 4000 }, TimePoint{ 4300 });
+  CHECK(suspects.SuspicionOf({ kSection }, TimePoint{ 4301 }) ==
+        CrashSuspicion::eClear);
+  const auto reports = suspects.TakeCleared();
+  REQUIRE(reports.size() == 1);
+  CrashSuspects other = MakeSuspects();
+  BlockSection(other);
+  other.Merge(reports[0], TimePoint{ 4400 });
+  CHECK(other.SuspicionOf({ kSection }, TimePoint{ 4401 }) ==
+        CrashSuspicion::eClear);
+}
+
+} // namespace toucanshed
