After a block only one request at a time is tried, at every daemon

A daemon that knew a block from heartbeats has its last crash only; with a response of before the block known too, it took the suspect for clear once the block had ended, and would have sent all requests with it at once. Found by reading; the test covers it, its failure before was not run.

A failure that an engine itself responds with no longer counts as a written response: it says nothing of the sections.

--- a/src/coord/CrashSuspects.cpp
+++ b/src/coord/CrashSuspects.cpp
@@ -269,6 +269,9 @@
   if (aSuspect.IsBlocked(aNow)) {
     return CrashSuspicion::eBlocked;
   }
+  if (aSuspect.report.blocked) {
+    return CrashSuspicion::eSerialized; // its block has ended
+  }
   if (aSuspect.PassedLately()) {
     return CrashSuspicion::eClear;
   }
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -295,7 +295,9 @@
     this->state.backends.RecordSuccess(aPlacement.backend);
   }
   this->RecordResponseStart(aPlacement);
-  this->RecordWritten();
+  if (!failed) {
+    this->RecordWritten();
+  }
   const bool retry =
     failed && !this->request.relayed &&
     IsRetrySafe(this->request.route->kind) &&
--- a/test/correctness/CrashSuspectsTest.cpp
+++ b/test/correctness/CrashSuspectsTest.cpp
@@ -115,6 +115,24 @@
   CHECK_FALSE(suspects.GrantTrial(kSection, later + Millis(300)).granted);
 }
 
+// Guards against a daemon that knows a block from others' heartbeats sending
+// many requests at once when the block ends.
+TEST_CASE("a block that others have stated ends with one trial at a time")
+{
+  CrashSuspects source = MakeSuspects();
+  source.RecordPass({ kSection }, TimePoint{ 100 }, TimePoint{ 400 });
+  BlockSection(source);
+  CrashSuspects other = MakeSuspects();
+  for (const SuspectReport& report :
+       source.HeartbeatReports(TimePoint{ 3100 })) {
+    other.Merge(report, TimePoint{ 3100 });
+  }
+  const TimePoint now{ 3100 };
+  CHECK(other.SuspicionOf({ kSection }, now) == CrashSuspicion::eBlocked);
+  const TimePoint later = TimePoint{ 3000 } + CrashSuspects::kBlockTime;
+  CHECK(other.SuspicionOf({ kSection }, later) == CrashSuspicion::eSerialized);
+}
+
 TEST_CASE("a response that was written after a block lifts it")
 {
   CrashSuspects suspects = MakeSuspects();
