--- a/test/SuspectSimulation.cpp
+++ b/test/SuspectSimulation.cpp
@@ -494,14 +494,17 @@
     const bool written = lost.startedAt.ms != 0 &&
                          this->now - lost.startedAt > CrashSuspects::kWriteTime;
     const EngineCrash crash{ life, lost.sentAt, this->now };
-    this->After(this->RandomDelay(kMaxProbe), [this, lost, written, crash] {
-      Daemon& daemon = this->daemons[lost.daemon];
-      if (daemon.life == lost.daemonLife && !this->IsFrozen(lost.daemon)) {
-        daemon.suspects->RecordCrash(
-          written ? std::vector<SuspectId>{} : lost.suspects, crash, this->now);
-        this->SendPending(lost.daemon);
-      }
-    });
+    this->After(
+      this->RandomDelay(kMaxProbe), [this, lost = lost, written, crash] {
+        Daemon& daemon = this->daemons[lost.daemon];
+        if (daemon.life == lost.daemonLife && !this->IsFrozen(lost.daemon)) {
+          daemon.suspects->RecordCrash(written ? std::vector<SuspectId>{}
+                                               : lost.suspects,
+                                       crash,
+                                       this->now);
+          this->SendPending(lost.daemon);
+        }
+      });
   }
 }
 
