A request beyond one daemon's parts of limits finds any other holder

The relay asked only the daemon that holds the first part of a limit; each limit has seven, so most parts stayed idle.

Not taken: the holders of all back ends, which at thousands of them costs more than the request.

--- a/src/coord/EngineLimits.cpp
+++ b/src/coord/EngineLimits.cpp
@@ -180,14 +180,32 @@
   return EffectiveRate(found->second, aNow);
 }
 
+std::size_t
+EngineLimits::ShareCount(const LimitParts& aParts, TimePoint aNow) const
+{
+  return std::min(this->shares.SharingDaemons(aNow), aParts.count);
+}
+
+std::vector<DaemonId>
+EngineLimits::OtherHolders(const InstanceId& aEngine, TimePoint aNow) const
+{
+  const auto rate = this->RateOf(aEngine, aNow);
+  if (!rate) {
+    return {};
+  }
+  return this->shares.OtherHolders(
+    Hash64(aEngine.value),
+    this->ShareCount(this->policy.divide(*rate), aNow),
+    aNow);
+}
+
 void
 EngineLimits::UpdateShare(Limit& aLimit, TimePoint aNow) const
 {
   aLimit.shareCheckedAt = aNow;
   const double rate = EffectiveRate(aLimit, aNow).perSecond;
   const LimitParts parts = this->policy.divide(RequestRate{ rate });
-  const auto shareCount =
-    std::min(this->shares.SharingDaemons(aNow), parts.count);
+  const std::size_t shareCount = this->ShareCount(parts, aNow);
   const std::uint64_t key = Hash64(aLimit.latest.engine.value);
   const bool hasShare = this->shares.CanUseShares(aNow) &&
                         this->shares.HasShare(key, shareCount, aNow);
--- a/src/coord/EngineLimits.h
+++ b/src/coord/EngineLimits.h
@@ -149,6 +149,10 @@
   /** How long until the engine accepts a further request, from any daemon; 0
    * when it has no limit. */
   [[nodiscard]] Millis RetryDelay(const InstanceId& aEngine, TimePoint aNow);
+  /** The other daemons that hold a part of an engine's limit; none when it has
+   * no limit. */
+  [[nodiscard]] std::vector<DaemonId> OtherHolders(const InstanceId& aEngine,
+                                                   TimePoint aNow) const;
   /** Rate that the engine accepts from all daemons together; nothing when it
    * has no limit. */
   [[nodiscard]] std::optional<RequestRate> RateOf(const InstanceId& aEngine,
@@ -187,6 +191,9 @@
                                                  TimePoint aNow);
   /** \return as for RecordResponse. */
   bool Apply(Limit& aLimit, const LimitUpdate& aUpdate, TimePoint aNow);
+  /** Number of daemons that hold a part of a limit. */
+  [[nodiscard]] std::size_t ShareCount(const LimitParts& aParts,
+                                       TimePoint aNow) const;
   void UpdateShare(Limit& aLimit, TimePoint aNow) const;
   void Refill(Limit& aLimit, TimePoint aNow) const;
 
--- a/src/coord/LimitShares.cpp
+++ b/src/coord/LimitShares.cpp
@@ -2,6 +2,10 @@
 
 #include "base/Hash.h"
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 namespace toucanshed {
 
 LimitShares::LimitShares(DaemonId aSelf, TimePoint aStartedAt)
@@ -104,6 +108,32 @@
   return preceding < aShareCount;
 }
 
+std::vector<DaemonId>
+LimitShares::OtherHolders(std::uint64_t aKey,
+                          std::size_t aShareCount,
+                          TimePoint aNow) const
+{
+  std::vector<std::pair<std::uint64_t, DaemonId>> ranked;
+  ranked.emplace_back(CombineHashes(aKey, this->ownHash), this->self);
+  for (const auto& [id, peer] : this->peers) {
+    if (this->IsSharing(peer, aNow)) {
+      ranked.emplace_back(CombineHashes(aKey, peer.hash), id);
+    }
+  }
+  const std::size_t count = std::min(aShareCount, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(),
+                    std::greater<>());
+  std::vector<DaemonId> holders;
+  for (std::size_t i = 0; i < count; ++i) {
+    if (ranked[i].second != this->self) {
+      holders.push_back(std::move(ranked[i].second));
+    }
+  }
+  return holders;
+}
+
 const DaemonId&
 LimitShares::FirstHolder(std::uint64_t aKey, TimePoint aNow) const
 {
--- a/src/coord/LimitShares.h
+++ b/src/coord/LimitShares.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace toucanshed {
 
@@ -74,6 +75,10 @@
    * they have read the same list of daemons. */
   [[nodiscard]] bool HasShareOfKnown(std::uint64_t aKey,
                                      std::size_t aShareCount) const;
+  /** The daemons that hold the aShareCount shares, except this one. */
+  [[nodiscard]] std::vector<DaemonId> OtherHolders(std::uint64_t aKey,
+                                                   std::size_t aShareCount,
+                                                   TimePoint aNow) const;
   /** The daemon that holds the first of the shares that aKey identifies; this
    * one if it does. */
   [[nodiscard]] const DaemonId& FirstHolder(std::uint64_t aKey,
--- a/src/serve/PeerSend.cpp
+++ b/src/serve/PeerSend.cpp
@@ -5,7 +5,6 @@
 
 #include "RelayFields.h"
 #include "ServingState.h"
-#include "base/Hash.h"
 
 #include <algorithm>
 
@@ -16,6 +15,9 @@
 /** Daemons that a request is handed to. Each that does not run it costs the
  * caller a few milliseconds; more than a few full ones mean that all are. */
 constexpr std::size_t kMaxPeers = 3;
+/** Back ends of which the daemons with a part of the limit are looked up. More
+ * would cost too much where there are thousands. */
+constexpr std::size_t kSampledBackends = 8;
 constexpr Millis kConnectTimeout{ 350 };
 /** A daemon that has a request times it out itself; only if it hangs does this
  * one, after so many times the timeout of a send. */
@@ -65,11 +67,18 @@
 RequestForwarder::KeepPartHolders(
   std::vector<RelayCandidate>& aCandidates) const
 {
+  const std::vector<Backend*> backends =
+    this->state.backends.ForService(this->request.service);
+  const TimePoint now = ServingState::Now();
   std::set<DaemonId> holders;
-  for (const Backend* backend :
-       this->state.backends.ForService(this->request.service)) {
-    holders.insert(this->state.limitShares.FirstHolder(
-      Hash64(backend->entry.id.value), ServingState::Now()));
+  for (std::size_t i = 0; i < kSampledBackends && !backends.empty(); ++i) {
+    const InstanceId& id =
+      backends[this->state.random.NextBelow(backends.size())]->entry.id;
+    for (const EngineLimits* limits :
+         { &this->state.engineLimits, &this->state.rejectionLimits }) {
+      const auto others = limits->OtherHolders(id, now);
+      holders.insert(others.begin(), others.end());
+    }
   }
   const auto holdsNone = [&](const RelayCandidate& aCandidate) {
     return !holders.contains(aCandidate.id);
--- a/test/LimitSimulation.cpp
+++ b/test/LimitSimulation.cpp
@@ -22,6 +22,13 @@
   return DaemonId{ "daemon-" + std::to_string(aDaemon) };
 }
 
+std::size_t
+IndexOf(const DaemonId& aId)
+{
+  constexpr std::size_t kPrefix = 7;
+  return std::stoul(aId.value.substr(kPrefix));
+}
+
 } // namespace
 
 LimitSimulation::LimitSimulation(std::size_t aDaemons,
@@ -256,19 +263,73 @@
              static_cast<double>(engine.countedArrivals.size()) / allowed);
 }
 
+bool
+LimitSimulation::TrySendToAny(std::size_t aDaemon)
+{
+  const std::size_t first = this->random.NextBelow(this->engines.size());
+  for (std::size_t i = 0; i < this->engines.size(); ++i) {
+    if (this->TrySend(aDaemon, (first + i) % this->engines.size())) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+LimitSimulation::TrySendThroughOthers(std::size_t aDaemon)
+{
+  constexpr int kMaxPeers = 3;
+  Daemon& daemon = this->daemons[aDaemon];
+  std::set<DaemonId> holders;
+  constexpr int kSampledEngines = 8;
+  for (int i = 0; i < kSampledEngines; ++i) {
+    const Engine& engine =
+      this->engines[this->random.NextBelow(this->engines.size())];
+    const auto others = daemon.limits->OtherHolders(engine.id, this->now);
+    holders.insert(others.begin(), others.end());
+  }
+  for (int tried = 0; tried < kMaxPeers; ++tried) {
+    std::vector<RelayCandidate> candidates;
+    for (const DaemonId& holder : holders) {
+      candidates.push_back(RelayCandidate{ holder, ZoneId{ "zone" }, "", 0 });
+    }
+    const auto chosen = daemon.relayChoice.Choose(
+      candidates, ZoneId{ "zone" }, true, this->random, this->now);
+    if (!chosen) {
+      return false;
+    }
+    holders.erase(chosen->id);
+    const std::size_t peer = IndexOf(chosen->id);
+    if (this->IsAwake(peer) && this->TrySendToAny(peer)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 LimitSimulation::IssueRequest()
 {
-  const std::size_t daemon = this->random.NextBelow(this->daemons.size());
+  const std::size_t daemon =
+    this->onlyDaemon.value_or(this->random.NextBelow(this->daemons.size()));
   if (!this->IsAwake(daemon)) {
     return;
   }
-  const std::size_t first = this->random.NextBelow(this->engines.size());
-  for (std::size_t i = 0; i < this->engines.size(); ++i) {
-    if (this->TrySend(daemon, (first + i) % this->engines.size())) {
-      return;
-    }
-  }
+  ++this->issued;
+  const bool sent = this->TrySendToAny(daemon) ||
+                    (this->relays && this->TrySendThroughOthers(daemon));
+  this->refused += sent ? 0 : 1;
+}
+
+double
+LimitSimulation::TakeRefusedShare()
+{
+  const double share =
+    static_cast<double>(this->refused) /
+    static_cast<double>(std::max<std::size_t>(1, this->issued));
+  this->issued = 0;
+  this->refused = 0;
+  return share;
 }
 
 void
--- a/test/LimitSimulation.h
+++ b/test/LimitSimulation.h
@@ -6,6 +6,7 @@
 #include "base/Random.h"
 #include "coord/EngineLimits.h"
 #include "coord/LimitShares.h"
+#include "coord/RelayChoice.h"
 
 #include <deque>
 #include <map>
@@ -41,6 +42,17 @@
   /** Simulates requests, each to a random daemon and engine. A request that may
    * not be sent to that engine is tried at the other ones. */
   void Run(Millis aDuration, double aRequestsPerS);
+  /** From now on a request that its daemon may send to no engine goes through
+   * another one, as in the real daemon. */
+  void UseRelays() { this->relays = true; }
+  /** All requests arrive at this daemon; nothing: each at a random one. */
+  void SetOnlyDaemon(std::optional<std::size_t> aDaemon)
+  {
+    this->onlyDaemon = aDaemon;
+  }
+  /** Requests that no daemon sent to an engine, since the last call, as a
+   * fraction. */
+  double TakeRefusedShare();
   /** The engine reports a limit from now on; nothing: none. */
   void SetLimit(std::size_t aEngine, std::optional<double> aPerS);
   /** The engine rejects requests beyond this many at a time. It fails when it
@@ -71,6 +83,7 @@
   {
     std::unique_ptr<LimitShares> shares;
     std::unique_ptr<EngineLimits> limits;
+    RelayChoice relayChoice;
     TimePoint graceUntil;
     TimePoint resumesAt;
     TimePoint heartbeatAt;
@@ -112,6 +125,8 @@
   void Send(std::size_t aFrom, std::size_t aTo, Message aMessage);
   void Deliver();
   void IssueRequest();
+  bool TrySendToAny(std::size_t aDaemon);
+  bool TrySendThroughOthers(std::size_t aDaemon);
   bool TrySend(std::size_t aDaemon, std::size_t aEngine);
   void RecordArrival(std::size_t aDaemon, std::size_t aEngine);
   /** Lets an engine with limited room accept or reject a request. */
@@ -125,6 +140,10 @@
   LimitNetwork network;
   LimitPolicy policy;
   std::optional<std::size_t> room; // of each engine; nothing: unlimited
+  bool relays = false;
+  std::optional<std::size_t> onlyDaemon;
+  std::size_t issued = 0;
+  std::size_t refused = 0;
   std::size_t failures = 0;
   std::size_t accepted = 0;
   TimePoint now{ 100000 };
--- a/test/failure/SkewedLoadTest.cpp
+++ b/test/failure/SkewedLoadTest.cpp
@@ -1,3 +1,5 @@
+#include "test/HeartbeatTiming.h"
+#include "test/LimitSimulation.h"
 #include "test/PlatformHarness.h"
 
 #include <catch2/catch.hpp>
@@ -47,6 +49,41 @@
 
 } // namespace
 
+// Guards against the parts of limits at one daemon being all that its callers
+// get, at any number of daemons, and when another daemon becomes the one.
+TEST_CASE("skewed load is served within the limits of engines")
+{
+  constexpr std::size_t kLimitedEngines = 60;
+  constexpr double kLimitPerS = 5;
+  constexpr double kLoadPerS = 180;
+  constexpr Millis kContact{ 3000 };
+  for (const std::size_t daemons : { 7, 69, 330 }) {
+    LimitSimulation simulation(
+      daemons, kLimitedEngines, LimitNetwork{ 0.05, Millis(100) });
+    for (std::size_t i = 0; i < kLimitedEngines; ++i) {
+      simulation.SetLimit(i, kLimitPerS);
+    }
+    simulation.UseRelays();
+    // Until all daemons may use their parts.
+    simulation.Run(4 * HeartbeatTimeout(daemons), kLoadPerS / 10);
+    simulation.Run(kContact, kLoadPerS);
+    simulation.TakeRefusedShare();
+    simulation.Run(Millis(4000), kLoadPerS);
+    const double servedBefore = 1 - simulation.TakeRefusedShare();
+    for (const std::size_t one : { 0, 1 }) {
+      simulation.SetOnlyDaemon(one);
+      simulation.Run(kContact, kLoadPerS);
+      simulation.TakeRefusedShare();
+      simulation.Run(Millis(4000), kLoadPerS);
+      const double served = 1 - simulation.TakeRefusedShare();
+      CAPTURE(daemons, one, servedBefore, served);
+      CHECK(served * 4 >= servedBefore * 3);
+    }
+    CAPTURE(daemons, simulation.MaxUsage());
+    CHECK(simulation.MaxUsage() <= 1);
+  }
+}
+
 // Guards against requests being refused at the one daemon that gets most
 // connections, while the other daemons' parts of engines' rate limits lie idle.
 TEST_CASE("one daemon that gets all requests serves as many as two did")
