--- a/test/LimitSimulation.cpp
+++ b/test/LimitSimulation.cpp
@@ -290,6 +290,7 @@
   }
   for (int tried = 0; tried < kMaxPeers; ++tried) {
     std::vector<RelayCandidate> candidates;
+    candidates.reserve(holders.size());
     for (const DaemonId& holder : holders) {
       candidates.push_back(RelayCandidate{ holder, ZoneId{ "zone" }, "", 0 });
     }
