Plainer words in two comments

A check of the wording named a figure of speech and a word for hearing where a daemon receives a message.

--- a/src/coord/CrashSuspects.h
+++ b/src/coord/CrashSuspects.h
@@ -75,8 +75,8 @@
 /**
  * Requests that crash back ends may have no more in common than one section of
  * their prompts, which sound requests do not have, while these share everything
- * else with them and run beside them. What tells them apart: with the section
- * that crashes back ends no response is ever written. So the evidence against a
+ * else with them and run beside them. The difference: with the section that
+ * crashes back ends no response is ever written. So the evidence against a
  * suspect is the number of back ends that crashed, one after the other, just as
  * they began to write a response to a request with it, since the last response
  * to one was written. Each response that is written clears all its sections.
--- a/src/serve/PermitClient.cpp
+++ b/src/serve/PermitClient.cpp
@@ -67,7 +67,7 @@
 PermitClient::RequestTrial(SuspectId aSuspect, DaemonId aOwner)
 {
   serving::PermitRequest request;
-  // The owner may not have heard of the suspect.
+  // The owner may not know the suspect yet.
   *request.mutable_suspect() =
     ToMessage(this->state.crashSuspects.ReportOf(aSuspect));
   const PermitDecision decision =
