A crash of many engines is not taken for a cut of the daemon's paths

Callers got 503 "this daemon reaches no engine either" from daemons that reached three quarters of the engines. A check asks one engine in each of up to four failure domains; when all of them had crashed, the daemon took itself for cut off, relayed, and refused the others' relayed requests.

A check in which none accepts now asks up to eight further engines, at random, before it is recorded. A refused connection still proves nothing, as cuts refuse too. The end of a cut is looked for with the first engines alone, as before.

Not taken: counting data that still arrives on open connections (a cut may leave them), and asking all engines at once (a check would cost a connection to each).

--- a/src/coord/EngineReach.cpp
+++ b/src/coord/EngineReach.cpp
@@ -1,9 +1,24 @@
 #include "EngineReach.h"
 
+#include "base/Random.h"
+
 #include <algorithm>
+#include <set>
 
 namespace toucanshed {
 
+namespace {
+
+bool
+CanBeAsked(const Backend& aBackend, const Backend* aFailed)
+{
+  const bool failed =
+    aFailed != nullptr && aBackend.entry.id == aFailed->entry.id;
+  return !aBackend.leaving && !aBackend.graceUntil && !failed;
+}
+
+} // namespace
+
 std::size_t
 ReachCheck::AcceptedCount() const
 {
@@ -29,9 +44,7 @@
 {
   std::map<ZoneId, const Backend*> latestOfZone;
   for (const auto& [id, backend] : aBackends) {
-    const bool usable = !backend.leaving && !backend.graceUntil;
-    const bool failed = aFailed != nullptr && id == aFailed->entry.id;
-    if (!usable || failed) {
+    if (!CanBeAsked(backend, aFailed)) {
       continue;
     }
     const Backend*& latest = latestOfZone[backend.entry.zone];
@@ -64,6 +77,30 @@
   return check;
 }
 
+void
+EngineReach::AddFurtherControls(const std::map<InstanceId, Backend>& aBackends,
+                                const Backend* aFailed,
+                                Random& aRandom,
+                                ReachCheck& aCheck)
+{
+  std::set<InstanceId> asked;
+  for (const ReachCheck::Control& control : aCheck.controls) {
+    asked.insert(control.engine);
+  }
+  std::vector<const Backend*> others;
+  for (const auto& [id, backend] : aBackends) {
+    if (CanBeAsked(backend, aFailed) && !asked.contains(id)) {
+      others.push_back(&backend);
+    }
+  }
+  for (std::size_t i = 0; i < kMaxFurtherControls && !others.empty(); ++i) {
+    std::swap(others[aRandom.NextBelow(others.size())], others.back());
+    const BackendEntry& entry = others.back()->entry;
+    aCheck.controls.push_back(ReachCheck::Control{ entry.id, entry.zone });
+    others.pop_back();
+  }
+}
+
 bool
 EngineReach::RecordCheck(const ReachCheck& aCheck, TimePoint aNow)
 {
--- a/src/coord/EngineReach.h
+++ b/src/coord/EngineReach.h
@@ -14,6 +14,8 @@
 
 namespace toucanshed {
 
+class Random;
+
 /** What a failed connection or a response that broke off is due to. */
 enum class FailureCause
 {
@@ -56,6 +58,10 @@
   /** Engines in one check, each of another failure domain if there are as many.
    */
   static constexpr std::size_t kMaxControls = 4;
+  /** Further engines that are asked when none of the first has accepted. A
+   * quarter of all engines may crash at once, and then all of the first ones
+   * are down at some daemons of many. */
+  static constexpr std::size_t kMaxFurtherControls = 8;
   /** If no engine with requests has sent anything for this long, the paths are
    * checked. Engines send a token every few milliseconds. */
   static constexpr Millis kNoDataTime{ 300 };
@@ -74,6 +80,18 @@
     const Backend* aFailed,
     TimePoint aNow);
 
+  /** Whether the check needs further engines before it is recorded: none of its
+   * engines has accepted, and no cut is known. */
+  [[nodiscard]] bool NeedsFurtherControls(const ReachCheck& aCheck) const
+  {
+    return !this->cutSince && aCheck.AcceptedCount() == 0;
+  }
+  /** Adds further engines to a check, at random from all failure domains. */
+  static void AddFurtherControls(const std::map<InstanceId, Backend>& aBackends,
+                                 const Backend* aFailed,
+                                 Random& aRandom,
+                                 ReachCheck& aCheck);
+
   /** Records a finished check.
    * \return whether the belief has changed */
   bool RecordCheck(const ReachCheck& aCheck, TimePoint aNow);
--- a/src/serve/ReachMonitor.cpp
+++ b/src/serve/ReachMonitor.cpp
@@ -51,15 +51,30 @@
     EngineReach::Plan(this->state.backends.All(),
                       this->state.backends.Find(aFailed),
                       ServingState::Now()));
-  auto pending = std::make_shared<std::size_t>(check->controls.size());
-  for (std::size_t i = 0; i < check->controls.size(); ++i) {
-    this->state.pool.First().Spawn(this->Connect(check, i, pending));
+  co_await this->ConnectAll(check, 0);
+  if (this->state.engineReach.NeedsFurtherControls(*check)) {
+    const std::size_t first = check->controls.size();
+    EngineReach::AddFurtherControls(this->state.backends.All(),
+                                    this->state.backends.Find(aFailed),
+                                    this->state.random,
+                                    *check);
+    co_await this->ConnectAll(check, first);
+  }
+  this->checking = false;
+  this->ApplyCheck(*check);
+}
+
+Task<void>
+ReachMonitor::ConnectAll(std::shared_ptr<ReachCheck> aCheck, std::size_t aFirst)
+{
+  const std::size_t end = aCheck->controls.size();
+  auto pending = std::make_shared<std::size_t>(end - aFirst);
+  for (std::size_t i = aFirst; i < end; ++i) {
+    this->state.pool.First().Spawn(this->Connect(aCheck, i, pending));
   }
   while (*pending > 0) {
     co_await Sleep(kPollInterval);
   }
-  this->checking = false;
-  this->ApplyCheck(*check);
 }
 
 Task<void>
--- a/src/serve/ReachMonitor.h
+++ b/src/serve/ReachMonitor.h
@@ -45,6 +45,8 @@
   Task<void> Watch();
   /** Precondition: no check is in progress. */
   Task<void> Check(InstanceId aFailed);
+  /** Connects to the check's engines from aFirst on, all at once. */
+  Task<void> ConnectAll(std::shared_ptr<ReachCheck> aCheck, std::size_t aFirst);
   Task<void> Connect(std::shared_ptr<ReachCheck> aCheck,
                      std::size_t aControl,
                      std::shared_ptr<std::size_t> aPending);
--- a/test/correctness/EngineReachTest.cpp
+++ b/test/correctness/EngineReachTest.cpp
@@ -1,4 +1,5 @@
 #include "coord/EngineReach.h"
+#include "base/Random.h"
 #include "coord/RelayChoice.h"
 
 #include <algorithm>
@@ -84,6 +85,81 @@
   CHECK(zones.size() == check.controls.size());
 }
 
+// Guards against daemons that refuse their callers because the engines that
+// they happened to ask have crashed.
+TEST_CASE("a crash of many engines is not taken for a cut")
+{
+  constexpr std::size_t kZones = 4;
+  constexpr std::size_t kEngines = 112;
+  constexpr std::size_t kCrashed = 28;
+  constexpr std::size_t kDaemons = 330;
+  constexpr std::size_t kChecks = 30; // of each daemon, while they are down
+  Random random(1);
+  std::size_t cutDaemons = 0;
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    std::map<InstanceId, Backend> backends;
+    for (std::size_t i = 0; i < kEngines; ++i) {
+      Backend backend;
+      backend.entry.id = InstanceId{ "e" + std::to_string(i) };
+      backend.entry.zone = ZoneId{ "zone-" + std::to_string(i % kZones) };
+      backends[backend.entry.id] = backend;
+    }
+    std::set<InstanceId> crashed;
+    while (crashed.size() < kCrashed) {
+      crashed.insert(
+        InstanceId{ "e" + std::to_string(random.NextBelow(kEngines)) });
+    }
+    EngineReach reach;
+    for (std::size_t i = 0; i < kChecks && !reach.IsCut(); ++i) {
+      // Those that have sent data last change from check to check.
+      for (auto& [id, backend] : backends) {
+        backend.lastProgressAt =
+          TimePoint{ static_cast<std::int64_t>(random.NextBelow(kEngines)) };
+      }
+      const Backend& failed = backends.at(*crashed.begin());
+      ReachCheck check = EngineReach::Plan(backends, &failed, kStart);
+      if (reach.NeedsFurtherControls(check)) {
+        EngineReach::AddFurtherControls(backends, &failed, random, check);
+      }
+      for (ReachCheck::Control& control : check.controls) {
+        control.accepted = !crashed.contains(control.engine);
+      }
+      reach.RecordCheck(check, kStart);
+    }
+    cutDaemons += reach.IsCut() ? 1 : 0;
+  }
+  CHECK(cutDaemons == 0);
+}
+
+TEST_CASE("further engines are asked once none of the first accepts")
+{
+  Random random(1);
+  std::map<InstanceId, Backend> backends;
+  for (int i = 0; i < 14; ++i) {
+    Backend backend;
+    backend.entry.id = InstanceId{ "e" + std::to_string(i) };
+    backend.entry.zone = ZoneId{ "zone-" + std::to_string(i % 2) };
+    backends[backend.entry.id] = backend;
+  }
+  EngineReach reach;
+  ReachCheck check = EngineReach::Plan(backends, nullptr, kStart);
+  const std::size_t first = check.controls.size();
+  REQUIRE(reach.NeedsFurtherControls(check));
+  EngineReach::AddFurtherControls(backends, nullptr, random, check);
+  CHECK(check.controls.size() == first + EngineReach::kMaxFurtherControls);
+  std::set<InstanceId> engines;
+  for (const ReachCheck::Control& control : check.controls) {
+    engines.insert(control.engine);
+  }
+  CHECK(engines.size() == check.controls.size());
+  check.controls.back().accepted = true;
+  CHECK_FALSE(reach.NeedsFurtherControls(check));
+  check.controls.back().accepted = false;
+  reach.RecordCheck(check, kStart);
+  // The end of a cut is looked for with the first engines alone.
+  CHECK_FALSE(reach.NeedsFurtherControls(check));
+}
+
 // Guards against a daemon that goes back to engines in each gap of a cut.
 TEST_CASE("a cut that returns ends only after more checks")
 {
