Requests that arrive while a daemon starts wait for its start

When all daemons are killed at once, each reads the configuration 0.3 s (median; 0.5 s at most) after its start, and until then answered 503 "no configuration yet".

Such a request now waits until the configuration and the list of back ends have been read, for a quarter of its time and a second at most. Without the store it is rejected at once, as before. Deadlines still count from the arrival.

Not taken: to listen only once the configuration is read.

--- a/src/serve/CallerHandler.cpp
+++ b/src/serve/CallerHandler.cpp
@@ -6,6 +6,7 @@
 #include "RequestForwarder.h"
 #include "ServingState.h"
 #include "base/Hash.h"
+#include "edge/Worker.h"
 
 namespace toucanshed {
 
@@ -86,17 +87,54 @@
   return static_cast<double>(aRequest.promptTokens + aRequest.maxOutputTokens);
 }
 
+/** What is read now has waited for as long as the loop is behind. */
+TimePoint
+ArrivalTime(const ServingState& aState)
+{
+  const TimePoint now = ServingState::Now();
+  return now - aState.loopLag.At(now);
+}
+
+/** A daemon that has just started reads the configuration and the list of back
+ * ends within half a second. Requests that arrive before are held for at most
+ * this long and this fraction of their time: when all daemons have restarted,
+ * no other one could serve them sooner, and a rejected caller returns late. */
+constexpr Millis kMaxStartWait{ 1000 };
+constexpr int kStartWaitDivisor = 4;
+constexpr Millis kStartPollInterval{ 5 };
+
+/** Waits until a daemon that has just started can serve requests. */
+Task<void>
+AwaitStart(const ServingState& aState,
+           std::optional<Millis> aCallerTimeout,
+           HttpResponder& aResponder)
+{
+  const Millis ownTime =
+    aCallerTimeout.value_or(kMaxStartWait) / kStartWaitDivisor;
+  const TimePoint end = ServingState::Now() + std::min(kMaxStartWait, ownTime);
+  const auto isStarting = [&aState] {
+    const bool hasRead = aState.catalog != nullptr && aState.backendsRead;
+    return !hasRead && !aState.stopping && !aState.storeLostSince;
+  };
+  while (isStarting() && ServingState::Now() < end &&
+         !aResponder.HasReceiverLeft()) {
+    co_await Sleep(kStartPollInterval);
+  }
+}
+
 /** \param aRelayed another daemon has admitted the request, and counted it
  *   against its team's limit */
 tl::expected<ServingRequest, Refusal>
-Admit(ServingState& aState, IncomingRequest aIncoming, bool aRelayed)
+Admit(ServingState& aState,
+      IncomingRequest aIncoming,
+      TimePoint aArrived,
+      bool aRelayed)
 {
   const TimePoint now = ServingState::Now();
   ServingRequest request;
   request.incoming = std::move(aIncoming);
   request.catalog = aState.catalog;
-  // What was read has waited for as long as the loop is behind.
-  request.arrived = now - aState.loopLag.At(now);
+  request.arrived = aArrived;
   request.relayed = aRelayed;
   const Millis callerTimeout =
     request.incoming.callerTimeout.value_or(Millis(0));
@@ -245,7 +283,8 @@
   }
   incoming->callerTimeout = terms->timeLeft;
   incoming->resumeAfter = terms->resumeAfter;
-  auto admitted = Admit(aState, std::move(*incoming), true);
+  auto admitted =
+    Admit(aState, std::move(*incoming), ArrivalTime(aState), true);
   if (!admitted) {
     Refusal refusal = std::move(admitted.error());
     co_await SendRefusal(
@@ -271,7 +310,9 @@
     co_return;
   }
   AttemptId attempt = incoming->attempt;
-  auto admitted = Admit(aState, std::move(*incoming), false);
+  const TimePoint arrived = ArrivalTime(aState);
+  co_await AwaitStart(aState, incoming->callerTimeout, aResponder);
+  auto admitted = Admit(aState, std::move(*incoming), arrived, false);
   if (!admitted) {
     Refusal refusal = std::move(admitted.error());
     co_await SendRefusal(
