Orders for on-demand engines are few, and none shrinks a rollout's group

Cause: an operator's rollout starts engines of the new version in the same on-demand group as the old ones. An order that was computed before the daemon knew of them names fewer, and the platform stops the surplus at once, new engines first. On-demand orders followed each change of the required number, so one was often on its way. Rises were repeated while engines started, because only listed engines counted.

Change: engines that were ordered count as present until bootTime and a margin have passed. On-demand engines are a reserve with a dead band (half to 1.25 of its size); beyond it only reclaimable engines that cannot be had, or reclaims, order more. While engines of a rollout's new version may still appear no on-demand order is made, a planned one is dropped before it is sent, and later ones include all engines that exist. Nothing is released during a rollout, or for bootTime after its end, a refusal, a reclaim or a crash, nor before the demand covers all listed daemons; releases go in steps, the most expensive on-demand engines first. Both kinds and all versions stay within maxEngines. Each daemon records the peak, so that the next duty holder has it.

A rollout is ready with all engines required for slots, since these are planned fuller than before.

Ruled out: repeating an on-demand order when an engine is missing (the platform restarts crashed ones), and raising on-demand engines while reclaimable ones start (both take bootTime).

--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -3,13 +3,11 @@
  */
 #pragma once
 
-#include "BackendTable.h"
 #include "Catalog.h"
+#include "CrashTracker.h"
+#include "EngineCounts.h"
 #include "ReclaimTracker.h"
-#include "Rollouts.h"
-#include "base/RequestRate.h"
 
-#include <algorithm>
 #include <compare>
 #include <map>
 #include <optional>
@@ -35,63 +33,31 @@
   unsigned desired = 0;
 };
 
-/** The present load on a service's engines, summed over all daemons. */
-struct ServiceDemand
-{
-  double promptTokensPerS = 0;    // prompt tokens that need prefill
-  double runningRequests = 0;     // requests in flight at the engines
-  double prefillTokensPerMs = 40; // prefill speed of one engine
-};
-
-/** Engines that a demand requires, for each resource of an engine. */
-struct RequiredEngines
-{
-  double forPrefill = 0; // for the prefill of prompts
-  /** For the slots of requests in flight. When there are too few engines,
-   * requests accumulate in their slots, and this value exceeds what the same
-   * demand requires of enough engines. */
-  double forSlots = 0;
-
-  [[nodiscard]] double Max() const
-  {
-    return std::max(this->forPrefill, this->forSlots);
-  }
-};
-
 /**
  * Plans the engines of each service. Reclaimable engines cost a fraction of
  * on-demand ones. However, the platform reclaims all of a failure domain at the
  * same time, and for a while may have none to offer in any failure domain.
- * Therefore reclaimable engines serve most of the load. They are spread over
- * all failure domains, so that enough are left when one is reclaimed. A few
- * on-demand engines run beside them, in the cheapest failure domains.
+ * Therefore reclaimable engines serve most of the load, spread over all failure
+ * domains. A few on-demand engines run beside them as a reserve, in the
+ * cheapest failure domains.
  *
- * More on-demand engines are ordered in two cases only: while reclaimable ones
- * are refused and too few are left, and while further failure domains may be
- * reclaimed. The latter are ordered in advance, because an engine that is
- * ordered when the last failure domain is reclaimed starts seconds too late.
+ * A rise is ordered once: engines that were ordered and may still be starting
+ * count as present. Engines are released in steps, and only while nothing
+ * suggests that they are about to be required (see MayRelease).
  *
- * During a rollout, engines of the new version run beside the old ones and have
- * to serve all traffic at its end. Engines ordered during the rollout still get
- * the old version. A new-version engine that is released can therefore not be
- * replaced in time, so as many of them as are required are kept.
+ * Orders for on-demand engines are few. When an operator starts a rollout, the
+ * platform starts engines of the new version as on-demand engines of the same
+ * group, which this daemon learns of later. An order that names fewer makes the
+ * platform stop the surplus at once, old and new ones alike. So the reserve is
+ * changed only if it is far from its planned size, or if reclaimable engines
+ * cannot be had. During a rollout no on-demand engine is ordered while engines
+ * of the new version may still appear, and later orders include all that exist.
  *
  * Thread safety: none; the owner serialises.
  */
 class ScalePlanner
 {
 public:
-  /** Planned prefill utilization of an engine. Prompts arrive in bursts; above
-   * about half, the first tokens of short requests wait for the prefill of long
-   * prompts. */
-  static constexpr double kTargetPrefillUtilization = 0.45;
-  /** Planned slot utilization of an engine. Requests that run at the same time
-   * slow each other down. */
-  static constexpr double kTargetSlotUtilization = 0.3;
-  /** Share of the required engines that suffices for some seconds. The required
-   * number is such that prompts rarely wait for each other; fewer engines serve
-   * the same load if prompts wait. */
-  static constexpr double kSufficientShare = 0.7;
   /** Window over which the peak demand counts, so that a short drop between two
    * peaks does not drain engines that the next peak requires. */
   static constexpr Millis kDemandWindow{ 30000 };
@@ -110,18 +76,11 @@
    * the traffic requires. The same applies to on-demand engines while engines
    * of a new version appear. */
   static constexpr Millis kDiscoveryTime{ 2500 };
-
-  /** Engines that serve the demand at the planned utilization. */
-  [[nodiscard]] static RequiredEngines RequiredFor(const ServiceDemand& aDemand,
-                                                   const EngineTraits& aTraits);
-
-  /** Number of engines to add because rate-limited engines take less than their
-   * fair share of the requests.
-   * \param aReportedRates the rates that the rate-limited engines report
-   * \param aUsualRate of one engine's requests when none is rate-limited */
-  [[nodiscard]] static double LostToRateLimits(
-    const std::vector<RequestRate>& aReportedRates,
-    RequestRate aUsualRate);
+  /** Ordered engines count as present for bootTime and this: the order, the
+   * start and the first entry in the backend list take a while. */
+  static constexpr Millis kBootMargin{ 2000 };
+  /** Interval between two steps of a release. */
+  static constexpr Millis kReleaseInterval{ 3000 };
 
   /** Sets how many engines the service requires beyond its demand, to replace
    * the lost share of rate-limited engines. It is no part of the peak demand,
@@ -130,6 +89,13 @@
   {
     this->services[aService].lostEngines = aLost;
   }
+  /** Sets whether the demand includes every listed daemon's. Until then nothing
+   * is released, for kInitialPeriod at most: a daemon that failed may stay
+   * listed for a while. */
+  void SetDemandComplete(const ServiceId& aService, bool aComplete)
+  {
+    this->services[aService].demandComplete = aComplete;
+  }
 
   /** Records which engines a service has. Every daemon does so, also while
    * another one is the duty holder, so that the next duty holder knows at once
@@ -139,7 +105,7 @@
                const BackendTable& aBackends,
                const Rollout* aRollout,
                TimePoint aNow);
-  /** Returns the orders that differ from the latest ones, and those to repeat.
+  /** Returns the orders that change the engines, and those to repeat.
    * Precondition: aService has a scale.
    * \param aRequired the peak of RequiredFor within kDemandWindow
    * \param aRollout as for Observe
@@ -151,6 +117,12 @@
                                 const Rollout* aRollout,
                                 const std::set<ZoneId>& aDrained,
                                 TimePoint aNow);
+  /** Whether a planned order may still be sent. An order for on-demand engines
+   * may not if a rollout has become known since, whose engines it would not
+   * include. */
+  [[nodiscard]] bool MaySend(const GroupTarget& aOrder,
+                             const Rollout* aRollout,
+                             TimePoint aNow) const;
   /** Records that the platform accepted the order. */
   void RecordAccepted(const GroupTarget& aOrder, TimePoint aNow);
   /** Records that the platform has no such engines at the moment. */
@@ -161,6 +133,7 @@
   {
     std::optional<unsigned> ordered;
     TimePoint orderedAt;
+    unsigned present = 0; // as last observed
   };
   /** State of a service over all failure domains. */
   struct ServiceState
@@ -170,60 +143,76 @@
     TimePoint lastGrowthAt; // when initialEngines last grew
     bool hasOrders = false;
     double lostEngines = 0; // to replace, of rate-limited engines
-    TimePoint refusedUntil; // no reclaimable engine is ordered before
+    bool demandComplete = true;
+    std::optional<TimePoint>
+      refusedAt; // the latest refusal of reclaimable ones
+    std::optional<TimePoint> onDemandRefusedAt; // the same of on-demand ones
+    bool rolloutActive = false;
     std::optional<Position> rolloutPosition; // order of the latest rollout
-    unsigned maxNewVersion = 0;   // maximum of its new-version engines
+    Millis bootTime{ 0 };
+    TimePoint rolloutSince;               // when it was first seen here
+    std::optional<TimePoint> rolloutSeen; // when it was last seen to be active
+    unsigned maxNewVersion = 0;           // maximum of its new-version engines
     TimePoint newVersionGrowthAt; // start, or when maxNewVersion last grew
+    std::optional<TimePoint> releasedAt; // the last step of a release
+    /** A release has begun and continues to the desired number. */
+    bool releasingReclaimable = false;
+    bool releasingOnDemand = false;
     ReclaimTracker reclaimTracker;
+    CrashTracker crashTracker;
   };
-  struct EngineCounts
-  {
-    unsigned onDemand = 0;
-    unsigned reclaimable = 0;
-    unsigned leavingReclaimable = 0;
-    /** Engines of a new version whose rollout is active and may still be rolled
-     * back. */
-    unsigned newVersionOnDemand = 0;
-    unsigned newVersionReclaimable = 0;
-  };
-
-  using ZoneCounts = std::map<ZoneId, EngineCounts>;
-  static ZoneCounts CountEngines(const ServiceId& aService,
-                                 const BackendTable& aBackends,
-                                 const Rollout* aRollout);
-  static void CountEngine(const Backend& aBackend,
-                          const Rollout* aRollout,
-                          EngineCounts& aCounts);
-  /** Returns the on-demand engines of the new version to keep in each failure
-   * domain. */
-  static std::map<ZoneId, unsigned> NewVersionToKeep(
-    double aRequired,
-    const ZoneCounts& aPresent);
-  /** Returns the on-demand engines that a service requires so that enough
-   * engines are left if aReclaims further failure domains are reclaimed. */
-  static double OnDemandForReclaims(double aRequired,
-                                    unsigned aReclaims,
-                                    const ZoneCounts& aPresent);
-  void OrderIfNeeded(const EngineGroup& aGroup,
-                     unsigned aDesired,
-                     unsigned aPresent,
-                     TimePoint aNow,
-                     std::vector<GroupTarget>& aOrders);
-
-  void UpdateReclaims(const ServiceId& aService,
-                      const ZoneCounts& aPresent,
-                      TimePoint aNow);
+  /** One plan: what it is based on, and its orders. */
+  struct EnginePlan;
+
+  void PlanReclaimable(EnginePlan& aPlan);
+  void PlanOnDemand(EnginePlan& aPlan);
+  /** Orders that add engines in the cheapest failure domains with room. */
+  void AddOnDemand(EnginePlan& aPlan, unsigned aCount) const;
+  /** Orders that release engines, the most expensive ones first. */
+  void ReleaseOnDemand(EnginePlan& aPlan, unsigned aCount);
+  void ReleaseReclaimable(EnginePlan& aPlan,
+                          const std::map<ZoneId, unsigned>& aDesired,
+                          unsigned aSurplus);
+  /** Size of a group with the engines that were ordered and may still be
+   * starting, or of the plan's order. */
+  [[nodiscard]] unsigned Expected(const EnginePlan& aPlan,
+                                  const ZoneId& aZone,
+                                  bool aReclaimable) const;
+  /** The same without the engines of a new version. */
+  [[nodiscard]] unsigned ExpectedServing(const EnginePlan& aPlan,
+                                         const ZoneId& aZone,
+                                         bool aReclaimable) const;
+  [[nodiscard]] unsigned ExpectedServing(const EnginePlan& aPlan,
+                                         bool aReclaimable) const;
+  /** Most serving engines of a kind in a failure domain: both kinds and all
+   * versions together stay within maxEngines. */
+  [[nodiscard]] unsigned RoomFor(const EnginePlan& aPlan,
+                                 const ZoneId& aZone,
+                                 bool aReclaimable) const;
+  /** Whether engines may be released: no rollout is active, no reclaimable
+   * engine was refused, and none crashed or was reclaimed lately. */
+  [[nodiscard]] bool MayRelease(const ServiceId& aService,
+                                TimePoint aNow) const;
+  /** Whether engines of a rollout's new version may still appear. */
+  [[nodiscard]] static bool MoreMayAppear(const ServiceState& aState,
+                                          TimePoint aNow);
+
+  void ObserveZones(const ServiceId& aService,
+                    const ZoneCounts& aPresent,
+                    TimePoint aNow);
   /** Records how many engines there are.
    * \return whether more may still appear. */
   bool UpdateDiscovery(const ServiceId& aService,
                        unsigned aPresent,
                        TimePoint aNow);
-  /** Records the engines of a new version.
-   * \return whether more may still appear. */
-  bool UpdateNewVersion(const ServiceId& aService,
+  /** Records the engines of a new version. */
+  void UpdateNewVersion(const ServiceId& aService,
                         const Rollout* aRollout,
                         const ZoneCounts& aPresent,
                         TimePoint aNow);
+  /** The engines that were ordered do not count as starting any more: they get
+   * the version that the end of a rollout stops. */
+  void ForgetOrders(const ServiceId& aService);
   double RequiredNow(const ServiceSpec& aService,
                      double aRequired,
                      TimePoint aNow);
--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -77,8 +77,9 @@
   Task<void> SendOrder(GroupTarget aOrder,
                        FencingToken aFence,
                        double aRequired);
-  /** Engines that the peak demand of the recent window requires. */
-  double RecentPeakDemand(const ServiceSpec& aService, TimePoint aNow);
+  /** Records the engines that the demand requires now, at every daemon: the
+   * next holder then knows the peak. \return the peak of the recent window. */
+  double RecordDemand(const ServiceSpec& aService, TimePoint aNow);
   /** Reads the records added since the last read. \return whether the store
    * responded. */
   Task<bool> CatchUp();
@@ -125,6 +126,7 @@
   StorePosition holderLogEnd;    // end of the records as the holder reported it
   TimePoint claimTriedAt;        // the last claim attempt
   TimePoint nextPlanAt;          // when orders are planned next
+  TimePoint nextDemandAt;        // when the demand is recorded next
   std::map<ServiceId, RecentMax> peakDemand; // engines required
   std::set<Position>
     writtenStatuses; // positions of rollout orders with a written status
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -7,6 +7,7 @@
 #include "ServingState.h"
 #include "StoreClient.h"
 #include "base/Hash.h"
+#include "coord/RequiredEngines.h"
 #include "edge/HttpExchange.h"
 #include "edge/Worker.h"
 
@@ -232,14 +233,22 @@
   if (catalog == nullptr || !this->state.backendsRead) {
     return;
   }
+  const TimePoint now = ServingState::Now();
+  const bool isComplete = this->state.peers.HasReadList() &&
+                          this->state.peers.PeersWithoutHeartbeat().empty();
   for (const auto& [id, service] : catalog->services) {
-    if (service.scale) {
-      this->planner.Observe(id,
-                            this->state.backends,
-                            this->state.rollouts.Find(id),
-                            ServingState::Now());
+    if (!service.scale) {
+      continue;
+    }
+    this->planner.Observe(
+      id, this->state.backends, this->state.rollouts.Find(id), now);
+    this->planner.SetDemandComplete(id, isComplete);
+    if (now >= this->nextDemandAt) {
+      this->RecordDemand(service, now);
     }
   }
+  this->nextDemandAt =
+    now >= this->nextDemandAt ? now + kPlanInterval : this->nextDemandAt;
 }
 
 Task<void>
@@ -256,7 +265,7 @@
     if (!service.scale || !service.engine) {
       continue;
     }
-    const double required = this->RecentPeakDemand(service, now);
+    const double required = this->RecordDemand(service, now);
     this->planner.SetLostEngines(id,
                                  EnginesLostToRateLimits(this->state, id, now));
     const std::vector<GroupTarget> orders =
@@ -276,7 +285,7 @@
 }
 
 double
-DutyRunner::RecentPeakDemand(const ServiceSpec& aService, TimePoint aNow)
+DutyRunner::RecordDemand(const ServiceSpec& aService, TimePoint aNow)
 {
   const double required = RequiredEnginesNow(this->state, aService, aNow).Max();
   RecentMax& recentMax =
@@ -313,6 +322,12 @@
 DutyRunner::SendOrder(GroupTarget aOrder, FencingToken aFence, double aRequired)
 {
   const EngineGroup& group = aOrder.group;
+  const bool maySend = this->planner.MaySend(
+    aOrder, this->state.rollouts.Find(group.service), ServingState::Now());
+  if (!maySend) {
+    --this->pendingOrders;
+    co_return; // planned again with the new engines
+  }
   const ScaleOrder order{
     group.service, group.zone, aOrder.desired, group.reclaimable
   };
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -1,7 +1,7 @@
 #include "EngineDemand.h"
 
 #include "ServingState.h"
-#include "coord/ScalePlanner.h"
+#include "coord/RequiredEngines.h"
 
 namespace toucanshed {
 
@@ -13,17 +13,17 @@
   if (!aService.engine) {
     return RequiredEngines{};
   }
-  ServiceDemand demand;
-  demand.promptTokensPerS = aState.promptRates[aService.id].At(aNow) +
-                            aState.peers.PromptRate(aService.id, aNow);
+  EngineLoad load;
+  load.promptTokensPerS = aState.promptRates[aService.id].At(aNow) +
+                          aState.peers.PromptRate(aService.id, aNow);
   for (const Backend* backend : aState.backends.ForService(aService.id)) {
-    demand.runningRequests += static_cast<double>(backend->TotalRunning());
+    load.busySlots += static_cast<double>(backend->TotalRunning());
   }
   const auto placer = aState.placers.find(aService.id);
   if (placer != aState.placers.end()) {
-    demand.prefillTokensPerMs = placer->second.Speed().promptTokensPerMs;
+    load.prefillTokensPerMs = placer->second.Speed().promptTokensPerMs;
   }
-  return ScalePlanner::RequiredFor(demand, *aService.engine);
+  return RequiredFor(load, *aService.engine);
 }
 
 double
@@ -50,7 +50,7 @@
   const auto daemons = static_cast<double>(aState.DaemonCount());
   const RequestRate usualRate{ localRate * daemons /
                                static_cast<double>(engines) };
-  return ScalePlanner::LostToRateLimits(reportedLimits, usualRate);
+  return LostToRateLimits(reportedLimits, usualRate);
 }
 
 } // namespace toucanshed
--- a/src/serve/RolloutMonitor.cpp
+++ b/src/serve/RolloutMonitor.cpp
@@ -3,7 +3,7 @@
 #include "EngineDemand.h"
 #include "ServingState.h"
 #include "StoreClient.h"
-#include "coord/ScalePlanner.h"
+#include "coord/RequiredEngines.h"
 #include "edge/Worker.h"
 
 #include <algorithm>
@@ -89,11 +89,8 @@
   if (service != nullptr) {
     const TimePoint now = ServingState::Now();
     const RequiredEngines required = RequiredEnginesNow(aState, *service, now);
-    // Requests that queue up because engines are missing do not require more
-    // engines than serve now.
-    const double forSlots = std::min(required.forSlots, readiness.oldEngines);
     readiness.requiredEngines =
-      ScalePlanner::kSufficientShare * std::max(required.forPrefill, forSlots);
+      std::max(kSufficientShare * required.forPrefill, required.forSlots);
   }
   return readiness;
 }
