Engines are ordered for the offered load, summed over all daemons

Cause: the requests in the engines' slots counted as demand. When engines are missing, requests accumulate there, and each order was larger than the one before. And the duty holder multiplied its own request rate by the number of daemons, which is wrong in both directions if the load is uneven.

Change: OfferedLoad counts each admitted request once, by service and priority, with the prompt tokens to prefill and the usual time in a slot. Heartbeats carry it; PeerTable sums it by failure domain and priority until a daemon's timeout; RequiredEnginesNow and EnginesLostToRateLimits use the sums. A daemon reports at least one priority, so that a report without any is an older daemon's, whose prompt tokens count with the mix of the others. Requests in slots and PeerTable::PromptRate are no longer used.

--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -5,6 +5,34 @@
 
 namespace toucanshed {
 
+namespace {
+
+/** A reported rate, or 0 if no daemon can have measured it: one invalid report
+ * must not spoil the sum. */
+double
+ValidRate(double aRate)
+{
+  constexpr double kMostPerS = 1e9;
+  return aRate >= 0 && aRate <= kMostPerS ? aRate : 0;
+}
+
+DemandByPriority
+ReadPriorities(const serving::ServiceLoad& aLoad)
+{
+  DemandByPriority demand{};
+  for (const serving::PriorityLoad& load : aLoad.priorities()) {
+    demand.at(ClampPriority(load.priority())) +=
+      PriorityDemand{ ValidRate(load.requests_per_s()),
+                      ValidRate(load.prompt_tokens_per_s()),
+                      ValidRate(load.long_prompt_tokens_per_s()),
+                      ValidRate(load.slots()),
+                      ValidRate(load.long_prompt_slots()) };
+  }
+  return demand;
+}
+
+} // namespace
+
 void
 PeerTable::AddPeer(const DaemonId& aId, const std::string& aAddress)
 {
@@ -290,18 +318,23 @@
   return this->totalLoads;
 }
 
-double
-PeerTable::PromptRate(const ServiceId& aService, TimePoint aNow) const
+ServiceDemand
+PeerTable::OfferedLoad(const ServiceId& aService, TimePoint aNow) const
 {
-  double rate = 0;
+  ServiceDemand sum;
   for (const serving::DaemonHeartbeat* heartbeat : this->LiveHeartbeats(aNow)) {
     for (const serving::ServiceLoad& service : heartbeat->services()) {
-      if (service.service() == aService.value) {
-        rate += service.prompt_tokens_per_s();
+      if (service.service() != aService.value) {
+        continue;
+      }
+      if (service.priorities().empty()) {
+        sum.unclassifiedTokensPerS += ValidRate(service.prompt_tokens_per_s());
+      } else {
+        sum.Add(ZoneId{ heartbeat->zone() }, ReadPriorities(service));
       }
     }
   }
-  return rate;
+  return sum;
 }
 
 std::vector<DaemonId>
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -5,6 +5,7 @@
 
 #include "BackendTable.h"
 #include "RelayChoice.h"
+#include "ServiceDemand.h"
 #include "base/StorePosition.h"
 #include "serving.pb.h"
 
@@ -120,9 +121,11 @@
   /** Load that the live daemons put on each back end; idle back ends are
    * omitted. */
   [[nodiscard]] const std::map<InstanceId, BackendLoad>& Loads(TimePoint aNow);
-  /** Prompt tokens per second that the other live daemons send to a service. */
-  [[nodiscard]] double PromptRate(const ServiceId& aService,
-                                  TimePoint aNow) const;
+  /** The load that the callers of the other live daemons offer to a service. A
+   * daemon's latest report counts until the daemon times out, however late its
+   * next one is. Reads all heartbeats, so it is not meant for each request. */
+  [[nodiscard]] ServiceDemand OfferedLoad(const ServiceId& aService,
+                                          TimePoint aNow) const;
   /** Live daemons that have not reported final counts for a window. */
   [[nodiscard]] std::vector<DaemonId> PendingDaemons(std::uint64_t aWindow,
                                                      TimePoint aNow) const;
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -5,6 +5,54 @@
 
 namespace toucanshed {
 
+namespace {
+
+/** The smallest latency target of the routes to a service. */
+std::optional<Millis>
+SmallestTarget(const Catalog& aCatalog, const ServiceId& aService)
+{
+  std::optional<Millis> smallest;
+  for (const Route& route : aCatalog.routes) {
+    for (const RouteTarget& target : route.targets) {
+      const bool counts =
+        target.service == aService && route.latencyTarget > Millis(0);
+      if (counts) {
+        smallest =
+          std::min(smallest.value_or(route.latencyTarget), route.latencyTarget);
+      }
+    }
+  }
+  return smallest;
+}
+
+/** Mean prompt of the priorities, weighted by the tokens of each. */
+double
+MeanPromptTokens(const ServiceDemand& aDemand)
+{
+  double tokens = 0;
+  double weighted = 0;
+  for (const PriorityDemand& demand : aDemand.ByPriority()) {
+    if (demand.requestsPerS > 0) {
+      tokens += demand.promptTokensPerS;
+      weighted +=
+        demand.promptTokensPerS * demand.promptTokensPerS / demand.requestsPerS;
+    }
+  }
+  return tokens > 0 ? weighted / tokens : 0;
+}
+
+} // namespace
+
+ServiceDemand
+OfferedLoadOfAll(const ServingState& aState,
+                 const ServiceId& aService,
+                 TimePoint aNow)
+{
+  ServiceDemand demand = aState.peers.OfferedLoad(aService, aNow);
+  demand.Add(aState.settings.zone, aState.offeredLoad.At(aService, aNow));
+  return demand;
+}
+
 RequiredEngines
 RequiredEnginesNow(ServingState& aState,
                    const ServiceSpec& aService,
@@ -13,16 +61,19 @@
   if (!aService.engine) {
     return RequiredEngines{};
   }
+  const ServiceDemand demand = OfferedLoadOfAll(aState, aService.id, aNow);
+  const PriorityDemand total = demand.Total();
   EngineLoad load;
-  load.promptTokensPerS = aState.promptRates[aService.id].At(aNow) +
-                          aState.peers.PromptRate(aService.id, aNow);
-  for (const Backend* backend : aState.backends.ForService(aService.id)) {
-    load.busySlots += static_cast<double>(backend->TotalRunning());
-  }
+  load.promptTokensPerS = total.promptTokensPerS;
+  load.busySlots = total.slots;
+  load.meanPromptTokens = MeanPromptTokens(demand);
   const auto placer = aState.placers.find(aService.id);
   if (placer != aState.placers.end()) {
     load.prefillTokensPerMs = placer->second.Speed().promptTokensPerMs;
   }
+  if (aState.catalog != nullptr) {
+    load.smallestTarget = SmallestTarget(*aState.catalog, aService.id);
+  }
   return RequiredFor(load, *aService.engine);
 }
 
@@ -46,10 +97,9 @@
   if (reportedLimits.empty()) {
     return 0;
   }
-  const double localRate = aState.requestRates[aService].At(aNow);
-  const auto daemons = static_cast<double>(aState.DaemonCount());
-  const RequestRate usualRate{ localRate * daemons /
-                               static_cast<double>(engines) };
+  const double rate =
+    OfferedLoadOfAll(aState, aService, aNow).Total().requestsPerS;
+  const RequestRate usualRate{ rate / static_cast<double>(engines) };
   return LostToRateLimits(reportedLimits, usualRate);
 }
 
--- a/src/serve/EngineDemand.h
+++ b/src/serve/EngineDemand.h
@@ -8,9 +8,18 @@
 namespace toucanshed {
 
 struct RequiredEngines;
+struct ServiceDemand;
 struct ServiceSpec;
 struct ServingState;
 
+/** The load that the callers of all daemons offer to a service, as last
+ * reported. Thread safety: called on the worker that owns aState. Reads all
+ * heartbeats, so it is not meant for each request. */
+ServiceDemand
+OfferedLoadOfAll(const ServingState& aState,
+                 const ServiceId& aService,
+                 TimePoint aNow);
+
 /** Engines that can serve the demand on a service at all daemons. None for a
  * service of which too little is known. Thread safety: called on the worker
  * that owns aState. */
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -4,12 +4,16 @@
 #include "SuspectReports.h"
 #include "base/Hash.h"
 
+#include <map>
 #include <vector>
 
 namespace toucanshed {
 
 namespace {
 
+/** Lower rates of requests are not reported. */
+constexpr double kLeastRate = 1e-3;
+
 void
 AddBackends(const ServingState& aState, serving::DaemonHeartbeat& aHeartbeat)
 {
@@ -92,6 +96,51 @@
   }
 }
 
+void
+AddPriorities(const DemandByPriority& aDemand, serving::ServiceLoad& aLoad)
+{
+  for (std::size_t i = 0; i < aDemand.size(); ++i) {
+    const PriorityDemand& demand = aDemand.at(i);
+    // One is always there: a report without priorities is an older daemon's,
+    // whose prompt tokens count as its callers'.
+    if (demand.requestsPerS < kLeastRate && i > 0) {
+      continue;
+    }
+    auto* entry = aLoad.add_priorities();
+    entry->set_priority(static_cast<std::int32_t>(i));
+    entry->set_requests_per_s(demand.requestsPerS);
+    entry->set_prompt_tokens_per_s(demand.promptTokensPerS);
+    entry->set_long_prompt_tokens_per_s(demand.longPromptTokensPerS);
+    entry->set_slots(demand.slots);
+    entry->set_long_prompt_slots(demand.longPromptSlots);
+  }
+}
+
+void
+AddServiceLoads(const ServingState& aState,
+                TimePoint aNow,
+                serving::DaemonHeartbeat& aHeartbeat)
+{
+  std::map<ServiceId, serving::ServiceLoad*> entries;
+  const auto entryOf = [&](const ServiceId& aService) {
+    serving::ServiceLoad*& entry = entries[aService];
+    if (entry == nullptr) {
+      entry = aHeartbeat.add_services();
+      entry->set_service(aService.value);
+    }
+    return entry;
+  };
+  for (const auto& [service, meter] : aState.promptRates) {
+    entryOf(service)->set_prompt_tokens_per_s(meter.At(aNow));
+  }
+  for (const ServiceId& service : aState.offeredLoad.Services()) {
+    entryOf(service);
+  }
+  for (const auto& [service, entry] : entries) {
+    AddPriorities(aState.offeredLoad.At(service, aNow), *entry);
+  }
+}
+
 serving::UsageLedger
 NewLedger(const ServingState& aState)
 {
@@ -273,11 +322,7 @@
        aState.rejectionLimits.TakeHeartbeatUpdates()) {
     AddLimit(update, true, now, *heartbeat.add_limits());
   }
-  for (const auto& [service, meter] : aState.promptRates) {
-    auto* entry = heartbeat.add_services();
-    entry->set_service(service.value);
-    entry->set_prompt_tokens_per_s(meter.At(now));
-  }
+  AddServiceLoads(aState, now, heartbeat);
   *heartbeat.mutable_rollouts() = MakeRolloutReports(aState).rollouts();
   for (const SuspectReport& report :
        aState.crashSuspects.HeartbeatReports(aState.ClusterNow())) {
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -3,6 +3,7 @@
 #include "BackendLoadGuard.h"
 #include "CrashProbe.h"
 #include "LocalResponses.h"
+#include "OfferedRequests.h"
 #include "RelayFields.h"
 #include "ServingState.h"
 #include "edge/Worker.h"
@@ -126,7 +127,7 @@
   if (!this->request.relayed) {
     const TimePoint now = ServingState::Now();
     this->state.retries.RecordRequest(this->request.service, now);
-    this->state.requestRates[this->request.service].Add(1, now);
+    RecordOfferedLoad(this->state, this->request, now);
   }
   while (true) {
     if (this->abort->Aborted() || this->responder.HasReceiverLeft()) {
@@ -388,6 +389,8 @@
     sharedSection);
   this->state.promptRates[this->request.service].Add(
     static_cast<double>(aPlacement.uncachedTokens), this->sentAt);
+  RecordOfferedSend(
+    this->state, this->request, aPlacement.uncachedTokens, this->sentAt);
   bool confirmed = true;
   PreSendCheck confirm = [this, &confirmed] {
     confirmed = this->ConfirmSend();
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -148,6 +148,8 @@
                    const NamedLimit& aNamed,
                    const char* aEvent);
   void RecordResponseStart(const Placement& aPlacement);
+  /** Records how long a response that has ended took in its slot. */
+  void RecordSlotTime(const Placement& aPlacement);
   /** Records the send as evidence about its back end's version. */
   void RecordEvidence(const InstanceId& aBackend, SendOutcome aOutcome);
   SendOutcome ClassifyError(const CallError& aError);
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -3,6 +3,7 @@
 #include "RequestForwarder.h"
 
 #include "BackendLoadGuard.h"
+#include "OfferedRequests.h"
 #include "RelayFields.h"
 #include "ServingState.h"
 
@@ -178,6 +179,26 @@
   }
 }
 
+void
+RequestForwarder::RecordSlotTime(const Placement& aPlacement)
+{
+  if (this->request.relayed) {
+    return; // counted by the daemon that admitted it
+  }
+  // The wait before the first event counts as far as the prompt itself takes
+  // it: the rest is the queue of a busy engine.
+  const Millis untilFirst = this->responseStartedAt - this->sentAt;
+  const Millis streamed = ServingState::Now() - this->responseStartedAt;
+  const auto prefill = Millis(
+    static_cast<std::int64_t>(static_cast<double>(aPlacement.uncachedTokens) /
+                              this->ServicePlacer().Speed().promptTokensPerMs));
+  const bool isStream = IsStream(this->request.route->kind);
+  RecordOfferedFinish(
+    this->state,
+    this->request,
+    streamed + (isStream ? std::min(untilFirst, prefill) : untilFirst));
+}
+
 Task<SendOutcome>
 RequestForwarder::RelayStream(HttpExchange& aExchange,
                               const Placement& aPlacement)
@@ -213,6 +234,7 @@
     co_return SendOutcome::eMayHaveRun;
   }
   co_await this->responder.End();
+  this->RecordSlotTime(aPlacement);
   this->RecordWritten();
   this->state.backends.RecordSuccess(aPlacement.backend);
   this->LogEnd(kOk, "streamed");
@@ -296,6 +318,7 @@
   }
   this->RecordResponseStart(aPlacement);
   if (!failed) {
+    this->RecordSlotTime(aPlacement);
     this->RecordWritten();
   }
   const bool retry =
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -19,6 +19,7 @@
 #include "coord/LimitShares.h"
 #include "coord/ListRevisions.h"
 #include "coord/LoopLag.h"
+#include "coord/OfferedLoad.h"
 #include "coord/PauseDetector.h"
 #include "coord/PeerTable.h"
 #include "coord/Placement.h"
@@ -128,7 +129,11 @@
   PrefixCacheIndex prefixCacheIndex;
   LoopLag loopLag;
   RetryCredit retries;
-  std::map<ServiceId, RateMeter> requestRates; // admitted here
+  OfferedLoad offeredLoad; // admitted here
+  /** Whether a prompt with this many tokens to prefill is a long one for the
+   * service; none is unless placement tells long prompts apart. */
+  std::function<bool(const ServiceId&, std::uint64_t aTokens)> isLongPrompt =
+    [](const ServiceId&, std::uint64_t) { return false; };
   TeamQuotas quotas;
   QuotaExchange quotaExchange;
   UsageWindows usage;
