Test simulations by what they do, one clock and message loss for three

SuspectSimulation, VerdictSimulation and NoticeSimulation had the same clock with steps and the same loss of messages; SimulatedSteps has both.

--- a/test/NoticeSimulation.cpp
+++ b/test/NoticeSimulation.cpp
@@ -50,7 +50,8 @@
 NoticeSimulation::StartDaemon(std::size_t aDaemon)
 {
   Daemon& daemon = this->daemons[aDaemon];
-  daemon.shares = std::make_unique<LimitShares>(IdOf(aDaemon), this->now);
+  daemon.shares =
+    std::make_unique<LimitShares>(IdOf(aDaemon), this->steps.Now());
   daemon.limits = std::make_unique<EngineLimits>(*daemon.shares);
   daemon.rejections =
     std::make_unique<EngineLimits>(*daemon.shares, RejectionLimitPolicy());
@@ -71,20 +72,8 @@
   daemon.stated.clear();
   ++daemon.life;
   daemon.heartbeatAt =
-    this->now + this->RandomDelay(HeartbeatInterval(this->daemons.size()));
-}
-
-void
-NoticeSimulation::After(Millis aDelay, Step aStep)
-{
-  this->steps.emplace(this->now + aDelay, std::move(aStep));
-}
-
-Millis
-NoticeSimulation::RandomDelay(Millis aMax)
-{
-  const auto max = static_cast<std::uint64_t>(aMax.count());
-  return Millis(1 + this->random.NextBelow(max));
+    this->steps.Now() +
+    this->steps.RandomDelay(HeartbeatInterval(this->daemons.size()));
 }
 
 void
@@ -96,10 +85,11 @@
   if (daemon.life != aLife) {
     return;
   }
-  if (daemon.frozenUntil > this->now) {
-    this->After(daemon.frozenUntil - this->now, [this, aDaemon, aLife, aStep] {
-      this->WhenAwake(aDaemon, aLife, aStep);
-    });
+  if (daemon.frozenUntil > this->steps.Now()) {
+    this->steps.After(daemon.frozenUntil - this->steps.Now(),
+                      [this, aDaemon, aLife, aStep] {
+                        this->WhenAwake(aDaemon, aLife, aStep);
+                      });
     return;
   }
   aStep();
@@ -109,7 +99,8 @@
 NoticeSimulation::Place(Request aRequest)
 {
   Daemon& daemon = this->daemons[aRequest.daemon];
-  const SendChoice choice = daemon.gate->Choose(kService, &AllowAll, this->now);
+  const SendChoice choice =
+    daemon.gate->Choose(kService, &AllowAll, this->steps.Now());
   if (choice.backends.empty() || aRequest.sends == kMaxSends) {
     ++this->refused;
     if (choice.wait) {
@@ -118,15 +109,16 @@
     }
     return;
   }
-  const std::size_t pick = this->random.NextBelow(choice.backends.size());
+  const std::size_t pick =
+    this->steps.Chance().NextBelow(choice.backends.size());
   const auto ticket = daemon.gate->Begin(
-    choice.backends[pick]->entry.id, std::nullopt, this->now);
-  this->After(this->RandomDelay(kMaxConnect),
-              [this, aRequest, ticket = *ticket] {
-                this->WhenAwake(aRequest.daemon, aRequest.life, [=, this] {
-                  this->Send(aRequest, ticket);
-                });
-              });
+    choice.backends[pick]->entry.id, std::nullopt, this->steps.Now());
+  this->steps.After(
+    this->steps.RandomDelay(kMaxConnect), [this, aRequest, ticket = *ticket] {
+      this->WhenAwake(aRequest.daemon, aRequest.life, [=, this] {
+        this->Send(aRequest, ticket);
+      });
+    });
 }
 
 void
@@ -135,7 +127,9 @@
   Daemon& daemon = this->daemons[aRequest.daemon];
   ++aRequest.sends;
   const auto refusal = daemon.gate->Admit(
-    aTicket, &AllowAll, SendTime{ this->now, this->now, this->now.ms });
+    aTicket,
+    &AllowAll,
+    SendTime{ this->steps.Now(), this->steps.Now(), this->steps.Now().ms });
   if (refusal) {
     this->Place(aRequest);
     return;
@@ -151,17 +145,18 @@
   ++engine.arrivals;
   const EngineLife to{ index, engine.entry.incarnation };
   this->RecordSend(daemon, to);
-  this->After(this->RandomDelay(kMaxResponse),
-              [this,
-               aRequest,
-               aTicket,
-               to,
-               leaving = engine.leaving,
-               rest = engine.rest] {
-                this->WhenAwake(aRequest.daemon, aRequest.life, [=, this] {
-                  this->Respond(aRequest, aTicket, to, leaving, rest);
-                });
-              });
+  this->steps.After(this->steps.RandomDelay(kMaxResponse),
+                    [this,
+                     aRequest,
+                     aTicket,
+                     to,
+                     leaving = engine.leaving,
+                     rest = engine.rest] {
+                      this->WhenAwake(
+                        aRequest.daemon, aRequest.life, [=, this] {
+                          this->Respond(aRequest, aTicket, to, leaving, rest);
+                        });
+                    });
 }
 
 void
@@ -172,7 +167,7 @@
     return;
   }
   this->toLeaving += stated->second.leaving ? 1 : 0;
-  this->withinRest += this->now < stated->second.restUntil ? 1 : 0;
+  this->withinRest += this->steps.Now() < stated->second.restUntil ? 1 : 0;
 }
 
 void
@@ -189,10 +184,10 @@
     daemon.backends->MarkLeaving(aTicket.backend, aTicket.ResponderStartedBy());
   }
   if (aRest) {
-    const TimePoint until = this->now + *aRest;
+    const TimePoint until = this->steps.Now() + *aRest;
     stated.restUntil = std::max(stated.restUntil, until);
     daemon.backends->RecordRest(
-      aTicket.backend, aTicket.ResponderStartedBy(), until, this->now);
+      aTicket.backend, aTicket.ResponderStartedBy(), until, this->steps.Now());
     this->Place(aRequest);
   }
 }
@@ -201,7 +196,8 @@
 NoticeSimulation::SendHeartbeat(std::size_t aDaemon)
 {
   Daemon& daemon = this->daemons[aDaemon];
-  daemon.heartbeatAt = this->now + HeartbeatInterval(this->daemons.size());
+  daemon.heartbeatAt =
+    this->steps.Now() + HeartbeatInterval(this->daemons.size());
   std::vector<std::pair<InstanceId, std::int64_t>> leaving;
   for (const auto& [id, backend] : daemon.backends->All()) {
     if (backend.leaving) {
@@ -212,17 +208,15 @@
     return;
   }
   for (std::size_t to = 0; to < this->daemons.size(); ++to) {
-    constexpr std::uint64_t kLossOneIn = 20;
-    const bool isCut =
-      (to < this->partitionedAt) != (aDaemon < this->partitionedAt);
-    if (to == aDaemon || isCut || this->random.NextBelow(kLossOneIn) == 0) {
+    if (!this->loss.Passes(aDaemon, to, this->steps.Chance())) {
       continue;
     }
-    this->After(this->RandomDelay(kMaxHeartbeatDelay), [this, to, leaving] {
-      for (const auto& [id, incarnation] : leaving) {
-        this->daemons[to].backends->MarkLeaving(id, incarnation);
-      }
-    });
+    this->steps.After(
+      this->steps.RandomDelay(kMaxHeartbeatDelay), [this, to, leaving] {
+        for (const auto& [id, incarnation] : leaving) {
+          this->daemons[to].backends->MarkLeaving(id, incarnation);
+        }
+      });
   }
 }
 
@@ -230,23 +224,20 @@
 NoticeSimulation::Run(Millis aDuration, double aRequestsPerS)
 {
   constexpr double kMillisPerSecond = 1000;
-  const TimePoint end = this->now + aDuration;
-  while (this->now < end) {
-    this->now = this->now + Millis(1);
-    while (!this->steps.empty() && this->steps.begin()->first <= this->now) {
-      const Step step = std::move(this->steps.begin()->second);
-      this->steps.erase(this->steps.begin());
-      step();
-    }
+  const TimePoint end = this->steps.Now() + aDuration;
+  while (this->steps.Now() < end) {
+    this->steps.Advance();
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
       const Daemon& daemon = this->daemons[i];
-      if (daemon.heartbeatAt <= this->now && daemon.frozenUntil <= this->now) {
+      if (daemon.heartbeatAt <= this->steps.Now() &&
+          daemon.frozenUntil <= this->steps.Now()) {
         this->SendHeartbeat(i);
       }
     }
     this->pendingLoad += aRequestsPerS / kMillisPerSecond;
     for (; this->pendingLoad >= 1; this->pendingLoad -= 1) {
-      const std::size_t daemon = this->random.NextBelow(this->daemons.size());
+      const std::size_t daemon =
+        this->steps.Chance().NextBelow(this->daemons.size());
       const Request request{ daemon, this->daemons[daemon].life, 0 };
       this->WhenAwake(
         daemon, request.life, [=, this] { this->Place(request); });
@@ -258,7 +249,7 @@
 NoticeSimulation::RestartEngine(std::size_t aEngine)
 {
   Engine& engine = this->engines[aEngine];
-  engine.entry.incarnation = this->now.ms;
+  engine.entry.incarnation = this->steps.Now().ms;
   engine.leaving = false;
   engine.rest.reset();
 }
@@ -278,9 +269,9 @@
 {
   for (Daemon& daemon : this->daemons) {
     for (const Engine& engine : this->engines) {
-      daemon.backends->Remove(engine.entry.id,
-                              aInGrace ? std::optional(this->now + kGrace)
-                                       : std::nullopt);
+      daemon.backends->Remove(
+        engine.entry.id,
+        aInGrace ? std::optional(this->steps.Now() + kGrace) : std::nullopt);
     }
   }
 }
@@ -294,7 +285,7 @@
 void
 NoticeSimulation::Freeze(std::size_t aDaemon, Millis aDuration)
 {
-  this->daemons[aDaemon].frozenUntil = this->now + aDuration;
+  this->daemons[aDaemon].frozenUntil = this->steps.Now() + aDuration;
 }
 
 std::size_t
--- a/test/NoticeSimulation.h
+++ b/test/NoticeSimulation.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "base/Random.h"
+#include "SimulatedSteps.h"
 #include "coord/BackendTable.h"
 #include "coord/DomainDrains.h"
 #include "coord/EngineLimits.h"
@@ -50,7 +50,7 @@
   void RestartDaemon(std::size_t aDaemon);
   /** No heartbeats pass between the daemons below aFirst and the others; 0:
    * all pass. */
-  void Partition(std::size_t aFirst) { this->partitionedAt = aFirst; }
+  void Partition(std::size_t aFirst) { this->loss.partitionedAt = aFirst; }
   /** The daemon does nothing for aDuration. */
   void Freeze(std::size_t aDaemon, Millis aDuration);
 
@@ -108,11 +108,9 @@
     std::uint64_t life = 0; // of the daemon
     unsigned sends = 0;
   };
-  using Step = std::function<void()>;
+  using Step = SimulatedSteps::Step;
 
   void StartDaemon(std::size_t aDaemon);
-  void After(Millis aDelay, Step aStep);
-  Millis RandomDelay(Millis aMax);
   void Place(Request aRequest);
   void Send(Request aRequest, SendTicket aTicket);
   void Respond(Request aRequest,
@@ -125,17 +123,15 @@
   /** Runs aStep once the daemon is awake; never if it has restarted. */
   void WhenAwake(std::size_t aDaemon, std::uint64_t aLife, const Step& aStep);
 
-  TimePoint now{ 100000 };
+  SimulatedSteps steps{ TimePoint{ 100000 }, 17 };
+  MessageLoss loss;
   std::vector<Daemon> daemons;
   std::vector<Engine> engines;
-  std::multimap<TimePoint, Step> steps;
   double pendingLoad = 0; // fraction of a request carried over
-  std::size_t partitionedAt = 0;
   std::size_t toLeaving = 0;
   std::size_t withinRest = 0;
   std::size_t refused = 0;
   std::optional<Millis> shortestWait;
-  Random random{ 17 };
 };
 
 } // namespace toucanshed::test
--- a/test/SuspectSimulation.h
+++ b/test/SuspectSimulation.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "base/Random.h"
+#include "SimulatedSteps.h"
 #include "coord/CrashSuspects.h"
 #include "coord/LimitShares.h"
 
@@ -42,7 +42,7 @@
   void RestartDaemon(std::size_t aDaemon);
   /** No messages pass between the daemons below aFirst and the others; 0: all
    * pass. */
-  void Partition(std::size_t aFirst) { this->partitionedAt = aFirst; }
+  void Partition(std::size_t aFirst) { this->loss.partitionedAt = aFirst; }
   /** The daemon does nothing for a time. */
   void Freeze(std::size_t aDaemon, Millis aDuration);
   /** Engines that crash each second for another reason, each at a moment of its
@@ -70,6 +70,9 @@
   static constexpr Millis kContact{ 3000 };
 
 private:
+  /** First of the ids of sections that crash engines; sound ones are below. */
+  static constexpr std::uint64_t kCrashingIds = 1000000;
+
   struct Daemon
   {
     std::unique_ptr<LimitShares> shares;
@@ -101,11 +104,8 @@
     std::vector<TimePoint> crashes;
     std::size_t sentTooLate = 0;
   };
-  using Step = std::function<void()>;
 
   void StartDaemon(std::size_t aDaemon);
-  void After(Millis aDelay, Step aStep);
-  Millis RandomDelay(Millis aMax);
   [[nodiscard]] bool IsFrozen(std::size_t aDaemon) const;
   void Send(std::size_t aFrom, std::size_t aTo, std::function<void(Daemon&)>);
   void SendToAll(std::size_t aFrom, const std::vector<SuspectReport>& aReports);
@@ -145,11 +145,11 @@
   [[nodiscard]] std::optional<std::size_t> ChooseEngine(bool aLeastBusy);
   void Refuse(bool aSound) { this->soundRefused += aSound ? 1 : 0; }
 
-  TimePoint now{ 1000000 };
+  SimulatedSteps steps{ TimePoint{ 1000000 }, 31 };
+  MessageLoss loss;
   SuspectLoad load;
   std::vector<Daemon> daemons;
   std::vector<Engine> engines;
-  std::multimap<TimePoint, Step> steps;
   std::map<SuspectId, SectionRecord> crashing; // the sections that crash
   std::map<SuspectId, SuspectReport> store;
   StoreEra storeEra{ 1 };
@@ -158,12 +158,10 @@
   double pendingCrashing = 0;
   double pendingOrdinary = 0;
   double ordinaryPerS = 0;
-  std::size_t partitionedAt = 0;
   std::uint64_t requests = 0;
   std::size_t soundRefused = 0;
   std::size_t soundLost = 0;
   std::size_t soundSent = 0;
-  Random random{ 31 };
 };
 
 } // namespace toucanshed::test
--- a/test/VerdictSimulation.cpp
+++ b/test/VerdictSimulation.cpp
@@ -25,7 +25,6 @@
 constexpr Millis kMaxMessageDelay{ 300 };
 constexpr Millis kEvidenceJitter{ 200 };
 constexpr Millis kEvaluationInterval{ 200 };
-constexpr std::uint64_t kLossOneIn = 20;
 
 DaemonId
 IdOf(std::size_t aDaemon)
@@ -48,12 +47,13 @@
 {
   Daemon& daemon = this->daemons[aDaemon];
   ++daemon.life;
-  daemon.startedAt = this->now;
-  daemon.shares = std::make_unique<LimitShares>(IdOf(aDaemon), this->now);
+  daemon.startedAt = this->steps.Now();
+  daemon.shares =
+    std::make_unique<LimitShares>(IdOf(aDaemon), this->steps.Now());
   daemon.peers = std::make_unique<PeerTable>(IdOf(aDaemon));
   daemon.shares->SetPeerTimeout(HeartbeatTimeout(this->daemons.size()));
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
-    daemon.shares->AddPeer(IdOf(i), this->now);
+    daemon.shares->AddPeer(IdOf(i), this->steps.Now());
     daemon.peers->AddPeer(IdOf(i), std::to_string(i));
   }
   daemon.shares->MarkListRead();
@@ -67,10 +67,12 @@
   daemon.evidence = std::make_unique<EvidenceTable>(
     IdOf(aDaemon).value + "/" + std::to_string(daemon.life));
   daemon.heartbeatAt =
-    this->now + this->RandomDelay(HeartbeatInterval(this->daemons.size()));
-  daemon.evaluateAt = this->now + this->RandomDelay(kEvaluationInterval);
+    this->steps.Now() +
+    this->steps.RandomDelay(HeartbeatInterval(this->daemons.size()));
+  daemon.evaluateAt =
+    this->steps.Now() + this->steps.RandomDelay(kEvaluationInterval);
   if (this->ordered) {
-    daemon.rollouts->Start(kOrder, this->now);
+    daemon.rollouts->Start(kOrder, this->steps.Now());
   }
 }
 
@@ -86,58 +88,45 @@
   this->badShare = aBadShare;
   this->ordered = true;
   for (Daemon& daemon : this->daemons) {
-    daemon.rollouts->Start(kOrder, this->now);
+    daemon.rollouts->Start(kOrder, this->steps.Now());
   }
 }
 
-void
-VerdictSimulation::After(Millis aDelay, Step aStep)
-{
-  this->steps.emplace(this->now + aDelay, std::move(aStep));
-}
-
-Millis
-VerdictSimulation::RandomDelay(Millis aMax)
-{
-  const auto max = static_cast<std::uint64_t>(aMax.count());
-  return Millis(1 + this->random.NextBelow(max));
-}
-
 void
 VerdictSimulation::Send(std::size_t aFrom,
                         std::size_t aTo,
                         std::function<void(Daemon&)> aApply)
 {
-  const bool cut = (aFrom < this->partitionedAt) != (aTo < this->partitionedAt);
-  if (aFrom == aTo || cut || this->random.NextBelow(kLossOneIn) == 0) {
+  if (!this->loss.Passes(aFrom, aTo, this->steps.Chance())) {
     return;
   }
   const std::uint64_t life = this->daemons[aTo].life;
-  this->After(this->RandomDelay(kMaxMessageDelay),
-              [this, aTo, life, apply = std::move(aApply)] {
-                if (this->daemons[aTo].life == life) {
-                  apply(this->daemons[aTo]);
-                }
-              });
+  this->steps.After(this->steps.RandomDelay(kMaxMessageDelay),
+                    [this, aTo, life, apply = std::move(aApply)] {
+                      if (this->daemons[aTo].life == life) {
+                        apply(this->daemons[aTo]);
+                      }
+                    });
 }
 
 void
 VerdictSimulation::SendRequest()
 {
-  const std::size_t index = this->random.NextBelow(this->daemons.size());
+  const std::size_t index =
+    this->steps.Chance().NextBelow(this->daemons.size());
   Daemon& daemon = this->daemons[index];
   const AttemptId attempt{ std::to_string(++this->attempts) };
   const bool toTarget =
     this->ordered &&
-    daemon.rollouts->MayUse(kService, kTarget, attempt, this->now);
-  const bool inTouch = this->now - daemon.startedAt > kContact;
-  const bool late = this->limitAt.ms != 0 && this->now > this->limitAt;
+    daemon.rollouts->MayUse(kService, kTarget, attempt, this->steps.Now());
+  const bool inTouch = this->steps.Now() - daemon.startedAt > kContact;
+  const bool late = this->limitAt.ms != 0 && this->steps.Now() > this->limitAt;
   this->sentToTarget += toTarget ? 1 : 0;
   this->sentTooLate += toTarget && late && inTouch ? 1 : 0;
-  this->After(this->RandomDelay(kMaxResponse),
-              [this, index, life = daemon.life, toTarget] {
-                this->Respond(index, life, toTarget);
-              });
+  this->steps.After(this->steps.RandomDelay(kMaxResponse),
+                    [this, index, life = daemon.life, toTarget] {
+                      this->Respond(index, life, toTarget);
+                    });
 }
 
 void
@@ -148,11 +137,11 @@
   constexpr std::uint64_t kParts = 1000;
   Observation observation;
   observation.error =
-    aTarget && this->random.NextBelow(kParts) <
+    aTarget && this->steps.Chance().NextBelow(kParts) <
                  static_cast<std::uint64_t>(this->badShare * kParts);
   this->badResponses += observation.error ? 1 : 0;
   if (this->badResponses == kBadResponsesAllowed && this->limitAt.ms == 0) {
-    this->limitAt = this->now + kRollbackTime;
+    this->limitAt = this->steps.Now() + kRollbackTime;
   }
   Daemon& daemon = this->daemons[aDaemon];
   if (daemon.life != aLife) {
@@ -161,11 +150,12 @@
   daemon.evidence->Observe(
     kOrder.position, aTarget ? kTarget : kOld, Stratum{}, observation);
   if (aTarget) {
-    this->After(this->RandomDelay(kEvidenceJitter), [this, aDaemon, aLife] {
-      if (this->daemons[aDaemon].life == aLife) {
-        this->SendEvidence(aDaemon);
-      }
-    });
+    this->steps.After(this->steps.RandomDelay(kEvidenceJitter),
+                      [this, aDaemon, aLife] {
+                        if (this->daemons[aDaemon].life == aLife) {
+                          this->SendEvidence(aDaemon);
+                        }
+                      });
   }
 }
 
@@ -175,7 +165,8 @@
   const auto evidence =
     this->daemons[aDaemon].evidence->LocalEvidence(kOrder.position);
   for (const std::string& address :
-       this->daemons[aDaemon].peers->DutyCandidateAddresses(this->now)) {
+       this->daemons[aDaemon].peers->DutyCandidateAddresses(
+         this->steps.Now())) {
     this->Send(aDaemon, std::stoul(address), [evidence](Daemon& aTo) {
       for (const peer::Evidence& entry : evidence) {
         aTo.evidence->Merge(entry);
@@ -192,7 +183,7 @@
     aTo,
     [this, reports = this->daemons[aDaemon].rollouts->Reports()](Daemon& aTo) {
       for (const RolloutReport& report : reports) {
-        const RolloutNews news = aTo.rollouts->Merge(report, this->now);
+        const RolloutNews news = aTo.rollouts->Merge(report, this->steps.Now());
         if (news.renamed) {
           aTo.evidence->Rename(*news.renamed, report.order.position);
         }
@@ -211,8 +202,9 @@
   heartbeat.set_address(std::to_string(aDaemon));
   for (std::size_t to = 0; to < this->daemons.size(); ++to) {
     this->Send(aDaemon, to, [this, heartbeat](Daemon& aTo) {
-      aTo.peers->ReceiveHeartbeat(heartbeat, this->now);
-      aTo.shares->RecordHeartbeat(DaemonId{ heartbeat.id() }, this->now);
+      aTo.peers->ReceiveHeartbeat(heartbeat, this->steps.Now());
+      aTo.shares->RecordHeartbeat(DaemonId{ heartbeat.id() },
+                                  this->steps.Now());
     });
     this->SendEnded(aDaemon, to);
   }
@@ -245,23 +237,18 @@
 VerdictSimulation::Run(Millis aDuration, double aRequestsPerS)
 {
   constexpr double kMillisPerSecond = 1000;
-  const TimePoint end = this->now + aDuration;
+  const TimePoint end = this->steps.Now() + aDuration;
   const Millis interval = HeartbeatInterval(this->daemons.size());
-  while (this->now < end) {
-    this->now = this->now + Millis(1);
-    while (!this->steps.empty() && this->steps.begin()->first <= this->now) {
-      const Step step = std::move(this->steps.begin()->second);
-      this->steps.erase(this->steps.begin());
-      step();
-    }
+  while (this->steps.Now() < end) {
+    this->steps.Advance();
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
       Daemon& daemon = this->daemons[i];
-      if (daemon.heartbeatAt <= this->now) {
-        daemon.heartbeatAt = this->now + interval;
+      if (daemon.heartbeatAt <= this->steps.Now()) {
+        daemon.heartbeatAt = this->steps.Now() + interval;
         this->SendHeartbeat(i);
       }
-      if (daemon.evaluateAt <= this->now) {
-        daemon.evaluateAt = this->now + kEvaluationInterval;
+      if (daemon.evaluateAt <= this->steps.Now()) {
+        daemon.evaluateAt = this->steps.Now() + kEvaluationInterval;
         this->Evaluate(i);
       }
     }
--- a/test/VerdictSimulation.h
+++ b/test/VerdictSimulation.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "base/Random.h"
+#include "SimulatedSteps.h"
 #include "coord/Evidence.h"
 #include "coord/LimitShares.h"
 #include "coord/PeerTable.h"
@@ -31,7 +31,7 @@
   void RestartDaemon(std::size_t aDaemon);
   /** No messages pass between the daemons below aFirst and the others; 0: all
    * pass. */
-  void Partition(std::size_t aFirst) { this->partitionedAt = aFirst; }
+  void Partition(std::size_t aFirst) { this->loss.partitionedAt = aFirst; }
 
   [[nodiscard]] std::size_t BadResponses() const { return this->badResponses; }
   /** Requests that a daemon sent to the target later than the time allowed
@@ -53,11 +53,8 @@
     TimePoint heartbeatAt;
     TimePoint evaluateAt;
   };
-  using Step = std::function<void()>;
 
   void StartDaemon(std::size_t aDaemon);
-  void After(Millis aDelay, Step aStep);
-  Millis RandomDelay(Millis aMax);
   /** Delivers a message unless it is lost, cut off, or the receiver has
    * restarted meanwhile. */
   void Send(std::size_t aFrom, std::size_t aTo, std::function<void(Daemon&)>);
@@ -68,19 +65,17 @@
   void SendHeartbeat(std::size_t aDaemon);
   void Evaluate(std::size_t aDaemon);
 
-  TimePoint now{ 100000 };
+  SimulatedSteps steps{ TimePoint{ 100000 }, 29 };
+  MessageLoss loss;
   std::vector<Daemon> daemons;
-  std::multimap<TimePoint, Step> steps;
   double pendingLoad = 0; // fraction of a request carried over
   double badShare = 0;
   bool ordered = false;
-  std::size_t partitionedAt = 0;
   std::size_t attempts = 0;
   std::size_t badResponses = 0;
   std::size_t sentToTarget = 0;
   std::size_t sentTooLate = 0;
   TimePoint limitAt; // when the allowed time after the 50th bad response ends
-  Random random{ 29 };
 };
 
 } // namespace toucanshed::test
--- a/test/WarmupSimulation.cpp
+++ b/test/WarmupSimulation.cpp
@@ -1,3 +1,5 @@
+// The daemons, the engines and the list. WarmupMessages.cpp has the messages
+// between daemons, WarmupRequests.cpp the requests.
 #include "WarmupSimulation.h"
 
 #include "HeartbeatTiming.h"
@@ -12,25 +14,21 @@
 
 constexpr Millis kStep{ 5 };
 constexpr double kMillisPerSecond = 1000;
-constexpr Millis kSecond{ 1000 };
 /** As in the daemon, for a bound of three seconds on leaving engines. */
 constexpr Millis kReaderInterval{ 1050 };
 constexpr Millis kMaxListAge{ 1950 };
 constexpr std::size_t kStoreReaders = 2;
-constexpr Millis kPermitTimeout{ 40 };
-constexpr Millis kMaxPermitTime{ 250 };
-constexpr Millis kPermitPollInterval{ 20 };
 
 const ServiceId kService{ "model" };
 
+} // namespace
+
 DaemonId
-IdOf(std::size_t aDaemon)
+WarmupSimulation::IdOf(std::size_t aDaemon)
 {
   return DaemonId{ "daemon-" + std::to_string(aDaemon) };
 }
 
-} // namespace
-
 WarmupSimulation::WarmupSimulation(std::size_t aDaemons,
                                    std::size_t aEngines,
                                    WarmupNetwork aNetwork,
@@ -163,65 +161,6 @@
   return digest;
 }
 
-void
-WarmupSimulation::ReportList(std::size_t aDaemon)
-{
-  const Daemon& daemon = this->daemons[aDaemon];
-  Message message;
-  message.kind = Message::Kind::eListReport;
-  for (const auto& [i, backend] : daemon.backends) {
-    if (daemon.limits->IsCold(backend, this->ClockOf(aDaemon))) {
-      message.cold.insert(backend.entry.id);
-    }
-  }
-  constexpr Millis kReportWindow{ 1800 };
-  for (std::size_t i = 0; i < this->engines.size(); ++i) {
-    if (this->now - this->engines[i].listChangedAt <= kReportWindow) {
-      message.changed.push_back(i);
-    }
-  }
-  message.digest = this->DigestOf(aDaemon);
-  for (std::size_t to = 0; to < this->daemons.size(); ++to) {
-    this->Send(aDaemon, to, message);
-  }
-}
-
-void
-WarmupSimulation::Send(std::size_t aFrom, std::size_t aTo, Message aMessage)
-{
-  constexpr std::uint64_t kWhole = 10000;
-  const bool separated =
-    this->partitioned.contains(aFrom) != this->partitioned.contains(aTo);
-  const auto chance =
-    static_cast<double>(this->random.NextBelow(kWhole)) / kWhole;
-  if (aFrom == aTo || separated || chance < this->network.lossRate) {
-    return;
-  }
-  aMessage.from = aFrom;
-  aMessage.to = aTo;
-  const auto maxDelay =
-    static_cast<std::uint64_t>(this->network.maxDelay.count());
-  this->messages.emplace(this->now +
-                           Millis(1 + this->random.NextBelow(maxDelay)),
-                         std::move(aMessage));
-}
-
-void
-WarmupSimulation::SendHeartbeat(std::size_t aDaemon)
-{
-  Daemon& daemon = this->daemons[aDaemon];
-  const std::size_t count = this->daemons.size();
-  const std::size_t batches =
-    (count + kHeartbeatBatchSize - 1) / kHeartbeatBatchSize;
-  daemon.heartbeatAt =
-    this->now + HeartbeatInterval(count) / static_cast<std::int64_t>(batches);
-  daemon.heartbeatBatch = (daemon.heartbeatBatch + 1) % batches;
-  Message message;
-  for (std::size_t to = daemon.heartbeatBatch; to < count; to += batches) {
-    this->Send(aDaemon, to, message);
-  }
-}
-
 void
 WarmupSimulation::Resume(std::size_t aDaemon)
 {
@@ -237,190 +176,6 @@
   });
 }
 
-void
-WarmupSimulation::Deliver()
-{
-  auto next = this->messages.begin();
-  while (next != this->messages.end() && next->first <= this->now) {
-    if (!this->IsAwake(next->second.to)) {
-      ++next; // it waits in the socket
-      continue;
-    }
-    const Message message = std::move(next->second);
-    next = this->messages.erase(next);
-    this->HandleMessage(message);
-  }
-}
-
-void
-WarmupSimulation::HandleMessage(const Message& aMessage)
-{
-  Daemon& daemon = this->daemons[aMessage.to];
-  const TimePoint clock = this->ClockOf(aMessage.to);
-  switch (aMessage.kind) {
-    case Message::Kind::eHeartbeat:
-      daemon.shares->RecordHeartbeat(IdOf(aMessage.from), clock);
-      return;
-    case Message::Kind::ePermitRequest: {
-      Message reply = aMessage;
-      reply.kind = Message::Kind::ePermitReply;
-      const auto backend = daemon.backends.find(aMessage.engine);
-      if (backend != daemon.backends.end()) {
-        reply.decision = daemon.limits->Grant(backend->second, true, clock);
-      }
-      this->Send(aMessage.to, aMessage.from, std::move(reply));
-      return;
-    }
-    case Message::Kind::ePermitReply: {
-      const auto found = this->waiting.find(aMessage.request);
-      if (found != this->waiting.end()) {
-        const Waiting request = found->second;
-        this->waiting.erase(found);
-        const Backend& backend = daemon.backends.at(request.engine);
-        this->DecidePermit(request,
-                           aMessage.decision.ownerStarting
-                             ? daemon.limits->GrantEqualPart(backend, clock)
-                             : aMessage.decision);
-      }
-      return;
-    }
-    case Message::Kind::eListReport:
-      break;
-  }
-  if (daemon.backends.empty()) {
-    return; // it has not read the list since its start
-  }
-  for (const std::size_t engine : aMessage.changed) {
-    this->ApplyEntry(aMessage.to, engine);
-  }
-  daemon.limits->RecordRead(aMessage.cold, clock);
-  if (aMessage.digest == this->DigestOf(aMessage.to)) {
-    daemon.listAsOf = clock;
-  } else {
-    daemon.listAsOf.reset();
-  }
-}
-
-void
-WarmupSimulation::DecidePermit(const Waiting& aWaiting,
-                               PermitDecision aDecision)
-{
-  Daemon& daemon = this->daemons[aWaiting.daemon];
-  Engine& engine = this->engines[aWaiting.engine];
-  const bool valid = aDecision.granted && this->now - aWaiting.askedAt <=
-                                            WarmupLimits::kPermitValidity;
-  if (valid) {
-    ++daemon.sentTo[aWaiting.engine];
-    ++this->counts.sent;
-    this->RecordArrival(engine);
-    return;
-  }
-  daemon.limits->RecordRefusal(
-    engine.id, this->ClockOf(aWaiting.daemon) + aDecision.retryAfter);
-  this->IssueRequest(aWaiting.daemon, aWaiting.arrived);
-}
-
-void
-WarmupSimulation::ExpirePermitRequests()
-{
-  std::vector<Waiting> expired;
-  std::erase_if(this->waiting, [&](const auto& aPair) {
-    const bool isExpired = this->IsAwake(aPair.second.daemon) &&
-                           this->now - aPair.second.askedAt >= kPermitTimeout;
-    if (isExpired) {
-      expired.push_back(aPair.second);
-    }
-    return isExpired;
-  });
-  for (const Waiting& request : expired) {
-    this->DecidePermit(request,
-                       PermitDecision{ false, WarmupLimits::kOwnerChangeTime });
-  }
-}
-
-void
-WarmupSimulation::RecordArrival(Engine& aEngine)
-{
-  if (aEngine.coldUntil <= this->now) {
-    aEngine.coldArrivals.clear();
-    return;
-  }
-  std::deque<TimePoint>& arrivals = aEngine.coldArrivals;
-  arrivals.push_back(this->now);
-  while (this->now - arrivals.front() > kSecond) {
-    arrivals.pop_front();
-  }
-  const double usage =
-    static_cast<double>(arrivals.size()) / static_cast<double>(kMaxPerSecond);
-  double& worst =
-    aEngine.coldReported ? this->maxUsage : this->maxUnreportedUsage;
-  worst = std::max(worst, usage);
-}
-
-void
-WarmupSimulation::IssueRequest(std::size_t aDaemon, TimePoint aArrived)
-{
-  if (!this->IsAwake(aDaemon)) {
-    return;
-  }
-  Daemon& daemon = this->daemons[aDaemon];
-  const TimePoint clock = this->ClockOf(aDaemon);
-  const auto engine = this->ChooseEngine(aDaemon, aArrived < this->now);
-  if (this->now - aArrived >= kMaxPermitTime) {
-    ++this->counts.refused;
-    return;
-  }
-  if (!engine) {
-    this->retries.emplace(this->now + kPermitPollInterval,
-                          std::pair{ aDaemon, aArrived });
-    return;
-  }
-  const Waiting request{ aDaemon, *engine, aArrived, this->now };
-  const Backend& backend = daemon.backends.at(*engine);
-  const PermitSource source = daemon.limits->SourceOf(backend, clock);
-  if (!this->bounded) {
-    this->DecidePermit(request, PermitDecision{ true });
-    return;
-  }
-  if (source.kind == PermitSource::Kind::eLocal) {
-    this->DecidePermit(request, daemon.limits->Grant(backend, false, clock));
-    return;
-  }
-  Message message;
-  message.kind = Message::Kind::ePermitRequest;
-  message.engine = *engine;
-  message.request = ++this->lastRequest;
-  this->waiting[message.request] = request;
-  this->Send(aDaemon, this->numberOfId.at(source.owner), std::move(message));
-}
-
-std::optional<std::size_t>
-WarmupSimulation::ChooseEngine(std::size_t aDaemon, bool aAfterRefusal)
-{
-  Daemon& daemon = this->daemons[aDaemon];
-  const TimePoint clock = this->ClockOf(aDaemon);
-  const auto& refusals = daemon.limits->Refusals(clock);
-  std::optional<std::size_t> best;
-  std::vector<std::size_t> usable;
-  for (const auto& [i, backend] : daemon.backends) {
-    const bool isUp =
-      this->engines[i].downUntil <= this->now && !this->engines[i].drained;
-    const bool isBetter =
-      isUp && (!best || daemon.sentTo[i] < daemon.sentTo[*best]);
-    const bool mayAsk = !this->bounded || !refusals.contains(backend.entry.id);
-    if (isUp && mayAsk) {
-      usable.push_back(i);
-    }
-    if (isBetter && mayAsk) {
-      best = i;
-    }
-  }
-  if (aAfterRefusal && !usable.empty()) {
-    return usable[this->random.NextBelow(usable.size())];
-  }
-  return best;
-}
-
 void
 WarmupSimulation::Step()
 {
--- a/test/WarmupSimulation.h
+++ b/test/WarmupSimulation.h
@@ -149,6 +149,7 @@
     TimePoint askedAt; // by the simulation's clock
   };
 
+  [[nodiscard]] static DaemonId IdOf(std::size_t aDaemon);
   void Start(std::size_t aDaemon, Millis aDelay);
   void Step();
   void RenewEntries();
