Starting daemons ask the owner of a warm-up bound, which grants by one count

What callers saw: after a restart of all daemons, 5.4 in 100 requests at 69 daemons and 40 at 330 refused for want of a permit, while engines had room; and an engine that cooled just then got 30 requests in a second of 29 allowed at 7.

Cause, as traced: a daemon that cannot use shares yet (for one peer timeout, 1.5, 2.5 and 11.9 s at 7, 69 and 330 daemons) asked nobody and sent an equal part of the bound. Where that is less than one, 25 daemons have one request a window: at 330 each daemon holds 1.5 permits for 20 engines, and a fifth of them none. And the first daemons to end their start grant the whole bound as owners, with a count that knows nothing of the parts which daemons that started later still take, and which those take that ask an owner which is starting.

Change: a starting daemon has read the list of daemons, so it knows the owner as the others do. It asks that owner, and an owner that starts grants from the count that it goes on with afterwards. So there is one count, and nothing is sent beside it. As before, starting daemons send only where there is evidence of warmth, and a daemon in a minority sends an equal part. A daemon that knows no other one leaves the decision to the one that asks, as before. A daemon now waits 60 ms instead of 40 for a permit: one that arrives later has been counted and is lost to all.

--- a/src/coord/LimitShares.cpp
+++ b/src/coord/LimitShares.cpp
@@ -54,8 +54,7 @@
 bool
 LimitShares::CanUseShares(TimePoint aNow) const
 {
-  const bool knownToAll = aNow - this->started >= this->peerTimeout;
-  return knownToAll && this->ReceivesFromMajority(aNow);
+  return !this->IsStarting(aNow) && this->ReceivesFromMajority(aNow);
 }
 
 bool
--- a/src/coord/LimitShares.h
+++ b/src/coord/LimitShares.h
@@ -55,6 +55,12 @@
   [[nodiscard]] bool ReceivesFromMajority(TimePoint aNow) const;
   /** Whether this daemon may use its shares. */
   [[nodiscard]] bool CanUseShares(TimePoint aNow) const;
+  /** Whether this daemon started or resumed so recently that others may not
+   * have received a heartbeat from it. */
+  [[nodiscard]] bool IsStarting(TimePoint aNow) const
+  {
+    return aNow - this->started < this->peerTimeout;
+  }
   [[nodiscard]] const DaemonId& Self() const { return this->self; }
   /** All known daemons, including this one and those that timed out, as they
    * may be running. */
--- a/src/coord/WarmupLimits.cpp
+++ b/src/coord/WarmupLimits.cpp
@@ -133,7 +133,10 @@
   if (!this->HasBound(aBackend.entry.service)) {
     return PermitSource{};
   }
-  if (!this->shares.CanUseShares(aNow)) {
+  const bool asksOwner =
+    this->shares.CanUseShares(aNow) ||
+    (this->IsStarting(aNow) && !this->IsCold(aBackend, aNow));
+  if (!asksOwner) {
     return PermitSource{ PermitSource::Kind::eLocal, DaemonId{} };
   }
   const DaemonId& owner =
@@ -144,6 +147,12 @@
                        owner };
 }
 
+bool
+WarmupLimits::IsStarting(TimePoint aNow) const
+{
+  return this->shares.IsListRead() && this->shares.IsStarting(aNow);
+}
+
 std::size_t
 WarmupLimits::OwnersPart(const Backend& aBackend, TimePoint aNow) const
 {
@@ -163,6 +172,13 @@
     const std::size_t part = this->OwnersPart(aBackend, aNow);
     return this->GrantUpTo(part, aBackend, aNow);
   }
+  // A peer that asks a daemon which knows no other one has another list.
+  const bool knowsOwners = !aForPeer || this->shares.KnownDaemons() > 1;
+  if (this->IsStarting(aNow) && knowsOwners) {
+    const bool withheld = this->IsCold(aBackend, aNow);
+    const std::size_t part = withheld ? 0 : this->OwnersPart(aBackend, aNow);
+    return this->GrantUpTo(part, aBackend, aNow);
+  }
   if (aForPeer) {
     return PermitDecision{ false, kOwnerChangeTime, true };
   }
--- a/src/coord/WarmupLimits.h
+++ b/src/coord/WarmupLimits.h
@@ -45,7 +45,7 @@
 {
   bool granted = false;
   Millis retryAfter{ 0 }; // if not granted
-  /** The owner cannot use shares yet, so the one that asked decides. */
+  /** The owner cannot tell what others grant, so the one that asked decides. */
   bool ownerStarting = false;
 };
 
@@ -61,14 +61,21 @@
  * kPermitValidity, and the owner counts permits over a window that is longer by
  * this. If the owner does not answer, nothing is sent.
  *
- * A daemon that cannot use shares yet, after a start or a pause or in a
- * minority, asks nobody: it sends an equal part of the bound, and only to back
- * ends with evidence that they are warm. That is an entry that states no
- * warm-up, in a list that was read no longer than kMaxEvidenceAge ago, by this
- * daemon or by one that reported the read. A pause, a failure of the back end
- * and the end of a drain of its failure domain make older evidence invalid.
+ * A daemon that starts or resumes cannot use shares for one peer timeout, but
+ * it has the list of daemons, from which it knows the owner as the others do.
+ * So it asks the owner, and an owner that starts grants the permits by the same
+ * count as later. If starting daemons sent parts of their own instead, these
+ * would add up with what owners grant. A starting owner grants only for back
+ * ends with evidence that they are warm, because it does not know what was
+ * granted before its start, and another daemon may have been the owner
+ * meanwhile. Evidence is an entry that states no warm-up, in a list that was
+ * read no longer than kMaxEvidenceAge ago, by this daemon or by one that
+ * reported the read. A pause, a failure of the back end and the end of a drain
+ * of its failure domain make older evidence invalid.
  *
- * Owners leave a part of the bound to such daemons.
+ * A daemon in a minority, or without the list of daemons, asks nobody: it sends
+ * an equal part of the bound, also only to back ends with such evidence. Owners
+ * leave a part of the bound to such daemons.
  *
  * Thread safety: none; the owner serialises.
  */
@@ -85,6 +92,10 @@
   /** When to ask again a daemon that grants nothing, because it is not the
    * owner or does not answer: others may know the owner better by then. */
   static constexpr Millis kOwnerChangeTime{ 100 };
+  /** Time after which a daemon that has asked for a permit asks for another
+   * one. An owner in the same region answers in two milliseconds, a busy one in
+   * some more, and the permit of a reply that comes too late is lost to all. */
+  static constexpr Millis kReplyTimeout{ 60 };
   /** Evidence of warmth is valid for this long. */
   static constexpr Millis kMaxEvidenceAge{ 3000 };
 
@@ -144,7 +155,7 @@
   /** Decides about a request to the back end, of this daemon or of another one
    * that takes this one for the owner, and counts it if it is granted. */
   PermitDecision Grant(const Backend& aBackend, bool aForPeer, TimePoint aNow);
-  /** Decides as a daemon that cannot use shares yet. */
+  /** Decides as a daemon whose owner cannot tell what others grant. */
   PermitDecision GrantEqualPart(const Backend& aBackend, TimePoint aNow);
   /** The owner refused a permit, or did not answer: none is asked for before
    * aUntil. */
@@ -166,11 +177,14 @@
   };
   static constexpr Millis kColdRefreshInterval{ 200 };
 
+  /** Whether this daemon started or resumed recently and knows from the list
+   * who owns a bound. */
+  [[nodiscard]] bool IsStarting(TimePoint aNow) const;
   /** Permits that this daemon grants within GrantWindow as the owner. */
   [[nodiscard]] std::size_t OwnersPart(const Backend& aBackend,
                                        TimePoint aNow) const;
-  /** Permits within GrantWindow that a daemon which cannot use shares yet
-   * takes: an equal part, or one for a few daemons where there are more daemons
+  /** Permits within GrantWindow that a daemon takes without an owner: an equal
+   * part, or one for a few daemons where there are more daemons
    * than permits. */
   [[nodiscard]] std::size_t EqualPart(const Backend& aBackend) const;
   PermitDecision GrantUpTo(std::size_t aMax,
--- a/src/serve/PermitClient.h
+++ b/src/serve/PermitClient.h
@@ -24,9 +24,7 @@
 class PermitClient
 {
 public:
-  /** An owner in the same region answers in two milliseconds, a busy one in
-   * some more. */
-  static constexpr Millis kReplyTimeout{ 40 };
+  static constexpr Millis kReplyTimeout = WarmupLimits::kReplyTimeout;
 
   /** Sends a datagram to an address. */
   using SendHook =
--- a/test/WarmupRequests.cpp
+++ b/test/WarmupRequests.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Millis kSecond{ 1000 };
-constexpr Millis kPermitTimeout{ 40 };
 constexpr Millis kMaxPermitTime{ 250 };
 constexpr Millis kPermitPollInterval{ 20 };
 
@@ -41,7 +40,7 @@
   std::erase_if(this->waiting, [&](const auto& aPair) {
     const bool isExpired =
       this->IsAwake(aPair.second.daemon) &&
-      this->now - aPair.second.askedAt >= kPermitTimeout;
+      this->now - aPair.second.askedAt >= WarmupLimits::kReplyTimeout;
     if (isExpired) {
       expired.push_back(aPair.second);
     }
