Length hints and the engines' memory are read

Placement has to know how many tokens a request will hold in an engine, and how many an engine can hold.

Rejecting requests with a hint that makes no sense was considered: it would lose requests that engines serve.

--- a/src/coord/Catalog.h
+++ b/src/coord/Catalog.h
@@ -70,6 +70,8 @@
 struct EngineTraits
 {
   unsigned slots = 1;
+  std::uint64_t memoryTokens = 0; // prompt and output; 0: not configured
+  unsigned tokensPerEvent = 1;
 };
 
 /** Limits and prices for the number of engines in each failure domain. */
--- a/src/serve/ServingRequest.h
+++ b/src/serve/ServingRequest.h
@@ -28,6 +28,7 @@
   std::vector<PromptSection> prompt;
   std::uint64_t promptTokens = 0;
   std::uint64_t maxOutputTokens = 0;
+  std::uint64_t lengthHint = 0; // expected output tokens; 0: not stated
   bool hasTokenCounts = false;
   std::optional<std::uint64_t> resumeAfter; // last event the caller has
   /** Head and body as received, for forwarding. */
