Placement by each engine's capacity, with pools for long and short prompts

Cause: with more than 24 daemons the others' sends are known half a second late. All daemons sent to the engine that the reports showed to be free, and chats were sent behind long prompts. One speed per service was used for engines that differ by 2.4 times; the correction of each engine was compared with an expectation that contained it, and so settled at the square root of the ratio.

- EstimateCapacity: free slots, free tokens, prefill ahead and the time to the first event of an engine, from its own prefill speed and step time, and from the others' reports, which give way to their average load as they age.
- PromptPools: engines are divided by rendezvous rank.
Long prompts go to their pool unless the other one is better by more than the cost there.
Pools and random draws apply above 24 daemons only.
- Plain back ends are chosen by recent response time, silence and wait for a slot.
- An engine that rejects without another reason is taken for a second to have no more slots than it was using.
- A full engine is chosen only when all are full.
Before, one with a small expected time was, and the request was rejected while others had room.
- A prompt larger than the engines' memory is rejected at once, without Retry-After.
- Learned speeds are reported in heartbeats; a daemon that has learned nothing yet starts with their median.
- Between failure domains 6 ms decide instead of 2, except for an engine with the request's section.

RecordResponseStart now takes the time and whether the queue was known; the calls in BackendTableTest were adapted, the checks are as before.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace toucanshed {
 
@@ -14,12 +15,15 @@
                          (backend.entry.incarnation != aEntry.incarnation ||
                           backend.entry.address != aEntry.address);
   if (restarted) {
-    const BackendLoad own =
-      backend.localLoad; // those requests still end at this daemon
+    // Those requests still end at this daemon.
+    const BackendLoad own = backend.localLoad;
+    const std::uint64_t held = backend.heldTokens;
     backend = Backend{};
     backend.localLoad = own;
+    backend.heldTokens = held;
   }
   backend.entry = aEntry;
+  backend.idHash = Hash64(aEntry.id.value);
   const bool hasIncarnation = aEntry.incarnation != 0;
   if (hasIncarnation && aEntry.leaving) {
     this->notices.RecordLeaving(aEntry.id, aEntry.incarnation);
@@ -168,23 +172,39 @@
 void
 BackendTable::RecordResponseStart(const InstanceId& aId,
                                   double aObservedMs,
-                                  double aExpectedMs)
+                                  double aUsualMs,
+                                  bool aKnowsQueue,
+                                  TimePoint aNow)
+{
+  if (Backend* backend = this->Find(aId)) {
+    backend->speed.RecordStart(aObservedMs, aUsualMs, aKnowsQueue, aNow);
+  }
+}
+
+void
+BackendTable::RecordSteps(const InstanceId& aId,
+                          double aObservedMs,
+                          double aUsualMs)
+{
+  if (Backend* backend = this->Find(aId)) {
+    backend->speed.RecordSteps(aObservedMs, aUsualMs);
+  }
+}
+
+void
+BackendTable::RecordSlotRejection(const InstanceId& aId, TimePoint aNow)
 {
-  constexpr double kLatestWeight =
-    0.15; // averages about the last six responses
-  constexpr double kMinRatio = 0.5;
-  constexpr double kMaxRatio = 8;
-  // Below this, differences come from the network and this daemon.
-  constexpr double kMinMs = 25;
   Backend* backend = this->Find(aId);
   if (backend == nullptr) {
     return;
   }
-  const double ratio =
-    std::max(aObservedMs, kMinMs) / std::max(aExpectedMs, kMinMs);
-  backend->slowness +=
-    kLatestWeight *
-    (std::clamp(ratio, kMinRatio, kMaxRatio) - backend->slowness);
+  const std::int64_t others =
+    std::max<std::int64_t>(1, backend->TotalRunning() - 1);
+  const auto used =
+    static_cast<unsigned>(std::min<std::int64_t>(others, backend->entry.slots));
+  const bool bounded = aNow < backend->slotsBoundUntil;
+  backend->slotsBound = bounded ? std::min(backend->slotsBound, used) : used;
+  backend->slotsBoundUntil = aNow + kSlotsBoundTime;
 }
 
 void
@@ -255,11 +275,24 @@
 }
 
 void
-BackendTable::SetRemoteLoads(const std::map<InstanceId, BackendLoad>& aLoads)
+BackendTable::SetRemoteLoads(const std::map<InstanceId, BackendLoad>& aLoads,
+                             TimePoint aNow)
 {
+  // Each engine has prefilled what was reported some heartbeats ago, but the
+  // other daemons choose engines the same way, so their load changes slowly.
+  constexpr double kAveragingMs = 4000;
+  const auto age = static_cast<double>((aNow - this->remoteLoadsAt).count());
+  const double weight = 1 - std::exp(-std::max(0.0, age) / kAveragingMs);
+  this->remoteLoadsAt = aNow;
   for (auto& [id, backend] : this->backends) {
     const auto found = aLoads.find(id);
     backend.remoteLoad = found == aLoads.end() ? BackendLoad{} : found->second;
+    UsualLoad& usual = backend.usualRemote;
+    usual.running += weight * (static_cast<double>(backend.remoteLoad.running) -
+                               usual.running);
+    usual.promptTokens +=
+      weight * (static_cast<double>(backend.remoteLoad.promptTokens) -
+                usual.promptTokens);
   }
 }
 
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "EngineNotices.h"
+#include "ObservedSpeed.h"
 #include "base/Types.h"
 
 #include <cstdint>
@@ -60,12 +61,24 @@
   auto operator<=>(const BackendLoad&) const = default;
 };
 
+/** Average of what the other daemons have reported lately. */
+struct UsualLoad
+{
+  double running = 0;
+  double promptTokens = 0;
+};
+
 /** A back end and its state as known to this daemon. */
 struct Backend
 {
   BackendEntry entry;
-  BackendLoad localLoad;  // sent by this daemon
-  BackendLoad remoteLoad; // sent by the other daemons, as last reported
+  std::uint64_t idHash = 0; // of entry.id
+  BackendLoad localLoad;    // sent by this daemon
+  BackendLoad remoteLoad;   // sent by the other daemons, as last reported
+  UsualLoad usualRemote;    // average of remoteLoad
+  /** Memory that this daemon's requests take there, with their expected output.
+   */
+  std::uint64_t heldTokens = 0;
   bool leaving = false;   // by the list, its own response or another daemon
   TimePoint leavingSince; // as seen by Expire; 0: not yet
   TimePoint restUntil;    // it accepts no request from this daemon before
@@ -78,7 +91,11 @@
   unsigned consecutiveFailures = 0;
   TimePoint
     unresponsiveSince; // it accepts no connection in time since; 0: it does
-  double slowness = 1; // observed over expected time to the start of a response
+  ObservedSpeed speed;
+  /** Slots that it has at most, by a rejection, until slotsBoundUntil. */
+  unsigned slotsBound = 0;
+  TimePoint slotsBoundUntil;
+  bool inLongPool = false; // see PromptPools
   /** Time of the last data from it or, if later, of a send to it while it was
    * idle. */
   TimePoint lastProgressAt;
@@ -163,11 +180,21 @@
   void RecordSuccess(const InstanceId& aId);
   /** The back end sent some data. */
   void RecordProgress(const InstanceId& aId, TimePoint aNow);
-  /** The back end began a response after aObservedMs, where aExpectedMs were
-   * expected. */
+  /** The back end began a response after aObservedMs, where aUsualMs were
+   * expected of one with the usual speed; see ObservedSpeed::RecordStart. */
   void RecordResponseStart(const InstanceId& aId,
                            double aObservedMs,
-                           double aExpectedMs);
+                           double aUsualMs,
+                           bool aKnowsQueue,
+                           TimePoint aNow);
+  /** The back end wrote its output tokens aObservedMs apart, where aUsualMs
+   * were expected of one with the usual speed. */
+  void RecordSteps(const InstanceId& aId, double aObservedMs, double aUsualMs);
+  /** The back end has rejected a request for lack of room. For kSlotsBoundTime
+   * it is taken to have no more slots than it was using, whatever it reports.
+   * Precondition: the rejected request still counts in its load. */
+  void RecordSlotRejection(const InstanceId& aId, TimePoint aNow);
+  static constexpr Millis kSlotsBoundTime{ 1000 };
   /** The back end failed or was unreachable. */
   void RecordFailure(const InstanceId& aId, TimePoint aNow);
 
@@ -193,7 +220,8 @@
   [[nodiscard]] std::uint64_t Digest() const;
   /** Sets the load from the other daemons' requests, summed over all daemons.
    */
-  void SetRemoteLoads(const std::map<InstanceId, BackendLoad>& aLoads);
+  void SetRemoteLoads(const std::map<InstanceId, BackendLoad>& aLoads,
+                      TimePoint aNow);
 
 private:
   /** Applies what the back end's incarnation has stated before. Precondition:
@@ -206,6 +234,7 @@
 
   std::map<InstanceId, Backend> backends;
   EngineNotices notices;
+  TimePoint remoteLoadsAt; // of the latest SetRemoteLoads
 };
 
 } // namespace toucanshed
--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -1,6 +1,7 @@
 #include "PeerTable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace toucanshed {
@@ -304,6 +305,36 @@
   return rate;
 }
 
+EngineSpeed
+PeerTable::UsualSpeed(const ServiceId& aService, TimePoint aNow) const
+{
+  std::vector<double> prefill;
+  std::vector<double> steps;
+  const auto add = [](double aValue, std::vector<double>& aValues) {
+    if (std::isfinite(aValue) && aValue > 0) {
+      aValues.push_back(aValue);
+    }
+  };
+  for (const serving::DaemonHeartbeat* heartbeat : this->LiveHeartbeats(aNow)) {
+    for (const serving::ServiceLoad& load : heartbeat->services()) {
+      if (load.service() == aService.value) {
+        add(load.prefill_tokens_per_ms(), prefill);
+        add(load.output_token_ms(), steps);
+      }
+    }
+  }
+  const auto median = [](std::vector<double>& aValues) {
+    if (aValues.empty()) {
+      return 0.0;
+    }
+    const auto middle =
+      aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+    std::nth_element(aValues.begin(), middle, aValues.end());
+    return *middle;
+  };
+  return EngineSpeed{ median(prefill), median(steps) };
+}
+
 std::vector<DaemonId>
 PeerTable::PendingDaemons(std::uint64_t aWindow, TimePoint aNow) const
 {
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "BackendTable.h"
+#include "EngineCapacity.h"
 #include "RelayChoice.h"
 #include "base/StorePosition.h"
 #include "serving.pb.h"
@@ -123,6 +124,10 @@
   /** Prompt tokens per second that the other live daemons send to a service. */
   [[nodiscard]] double PromptRate(const ServiceId& aService,
                                   TimePoint aNow) const;
+  /** Median of what the other live daemons have learned of a service's engines;
+   * 0 where none has learned anything. */
+  [[nodiscard]] EngineSpeed UsualSpeed(const ServiceId& aService,
+                                       TimePoint aNow) const;
   /** Live daemons that have not reported final counts for a window. */
   [[nodiscard]] std::vector<DaemonId> PendingDaemons(std::uint64_t aWindow,
                                                      TimePoint aNow) const;
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace toucanshed {
@@ -24,8 +25,33 @@
  * times this. It is about the time until a caller retries. */
 constexpr double kFailureCostMs = 1500;
 /** Cost of a round trip to another failure domain, including the price of the
- * traffic. It only breaks ties. */
-constexpr double kCrossZoneCostMs = 2;
+ * traffic. Between an engine that caches the section and others it only breaks
+ * ties: prefilling the section again costs more than the traffic. */
+constexpr double kCachedCrossZoneCostMs = 2;
+constexpr double kCrossZoneCostMs = 6;
+/** Running requests that a long prompt delays count with this fraction of the
+ * delay: their tokens come later, but few of them miss a target. */
+constexpr double kRunningDelayShare = 0.02;
+/** Least advantage for which a request leaves its pool. */
+constexpr double kMinPoolCostMs = 10;
+/** While the others' sends are not known at once, a request considers about
+ * this many engines of each pool, drawn at random. All daemons see the same
+ * old reports; if each took the best engine, they would all take the same one
+ * until the next reports. */
+constexpr double kDrawnEngines = 2;
+/** Cost of an engine that was not drawn; it grows with the distance from those
+ * that were, so that when none of these is eligible, another random one is. */
+constexpr double kNotDrawnMs = 400;
+/** Puts engines without room behind all others. */
+constexpr double kNoRoomMs = 1e6;
+/** Behind engines with memory for the request, before those without a slot: it
+ * would wait there for others to end. */
+constexpr double kNoMemoryMs = 500;
+/** Speeds that a daemon may report; others are errors. */
+constexpr double kMinTokensPerMs = 0.1;
+constexpr double kMaxTokensPerMs = 10000;
+constexpr double kMinTokenMs = 0.2;
+constexpr double kMaxTokenMs = 200;
 /** Requests beyond an engine's slots that may queue inside it, as a fraction of
  * the slots. They are few because a request queued in an engine can be neither
  * refused nor moved. */
@@ -44,29 +70,55 @@
 /** Selects the preferred engine of a section, the same at every daemon. A
  * rate-limited engine is never selected: it would get only a few of the
  * section's requests, and each of the others would prefill the section on
- * another engine. */
-InstanceId
+ * another engine.
+ * \param aLongPool set: only engines of this pool */
+const Backend*
 PreferredEngineOf(const std::string& aSection,
                   const std::vector<Backend*>& aEligible,
-                  const std::set<InstanceId>& aRateLimited)
+                  const std::set<InstanceId>& aRateLimited,
+                  std::optional<bool> aLongPool)
 {
-  InstanceId preferred;
+  const Backend* preferred = nullptr;
   std::uint64_t highest = 0;
   const std::uint64_t key = Hash64(aSection);
   for (const Backend* backend : aEligible) {
-    if (aRateLimited.contains(backend->entry.id)) {
+    const bool otherPool = aLongPool && backend->inLongPool != *aLongPool;
+    if (otherPool || aRateLimited.contains(backend->entry.id)) {
       continue;
     }
-    const std::uint64_t rank =
-      CombineHashes(key, Hash64(backend->entry.id.value));
-    if (preferred.Empty() || rank > highest) {
+    const std::uint64_t rank = CombineHashes(key, backend->idHash);
+    if (preferred == nullptr || rank > highest) {
       highest = rank;
-      preferred = backend->entry.id;
+      preferred = backend;
     }
   }
   return preferred;
 }
 
+/** \return the probabilities for the short and the long pool */
+std::array<double, 2>
+DrawnShares(const std::vector<Backend*>& aEligible)
+{
+  std::array<double, 2> counts{};
+  for (const Backend* backend : aEligible) {
+    counts[backend->inLongPool ? 1 : 0] += 1;
+  }
+  for (double& count : counts) {
+    count = kDrawnEngines / std::max(1.0, count);
+  }
+  return counts;
+}
+
+/** A number in [0, 1) that differs between requests and between engines. */
+double
+SpreadOf(std::uint64_t aKey, const Backend& aBackend)
+{
+  constexpr unsigned kDroppedBits = 11;
+  return static_cast<double>(CombineHashes(aKey, aBackend.idHash) >>
+                             kDroppedBits) *
+         0x1.0p-53;
+}
+
 } // namespace
 
 std::uint64_t
@@ -102,22 +154,129 @@
   return ids;
 }
 
+struct Placer::Choice
+{
+  const PlacementRequest& request;
+  const EngineTraits* traits;
+  const Backend* preferred = nullptr;
+  std::uint64_t allTokens = 0;
+  std::uint64_t ownTokens = 0;
+  TimePoint now;
+  /** Probability that an engine of the short and of the long pool is drawn. */
+  std::array<double, 2> drawnShare{ 1, 1 };
+};
+
 double
-Placer::ExpectedMs(const Backend& aBackend, std::uint64_t aTokens) const
-{
-  const double prefillTokens =
-    static_cast<double>(aBackend.localLoad.promptTokens +
-                        aBackend.remoteLoad.promptTokens) +
-    static_cast<double>(aTokens);
-  const double slots = std::max(1U, aBackend.entry.slots);
-  const double fill = static_cast<double>(aBackend.TotalRunning()) / slots;
-  // Each running request makes every decoding step a little longer.
-  const double steps = this->speed.outputTokenMs * (1 + fill);
-  const double over =
-    std::max(0.0, fill - 1) * slots * this->speed.outputTokenMs;
-  return aBackend.slowness *
-           (prefillTokens / this->speed.promptTokensPerMs + steps) +
-         over * 10 + aBackend.failureRate * kFailureCostMs;
+Placer::NotDrawnCost(const Backend& aBackend, const Choice& aChoice)
+{
+  const double drawnShare = aChoice.drawnShare[aBackend.inLongPool ? 1 : 0];
+  if (drawnShare >= 1) {
+    return 0;
+  }
+  const double draw = SpreadOf(aChoice.request.spreadKey, aBackend);
+  return kNotDrawnMs * std::max(0.0, draw / drawnShare - 1);
+}
+
+double
+Placer::CostToOthers(const Candidate& aCandidate, bool aIsLong) const
+{
+  const EngineCapacity& capacity = aCandidate.capacity;
+  const double prefillMs =
+    static_cast<double>(aCandidate.tokens) * capacity.msPerPromptToken;
+  const double running = capacity.fill * aCandidate.backend->entry.slots;
+  double cost = aIsLong ? prefillMs * running * kRunningDelayShare : 0;
+  const bool leavesPool =
+    this->pools.Active() && aCandidate.backend->inLongPool != aIsLong;
+  if (leavesPool) {
+    cost += std::max(kMinPoolCostMs, prefillMs * std::max(1.0, running));
+  }
+  return cost;
+}
+
+Placer::Candidate
+Placer::Rate(const Backend& aBackend,
+             const Choice& aChoice,
+             double aBound) const
+{
+  const PlacementRequest& request = aChoice.request;
+  const auto& cachedOn = request.cachedBackends;
+  const bool isCached =
+    std::find(cachedOn.begin(), cachedOn.end(), aBackend.entry.id) !=
+    cachedOn.end();
+  const bool isPreferred = &aBackend == aChoice.preferred;
+  const bool hasSection = isPreferred || isCached;
+  Candidate candidate;
+  candidate.backend = &aBackend;
+  candidate.score = hasSection ? 0 : NotDrawnCost(aBackend, aChoice);
+  if (candidate.score >= aBound) {
+    return candidate;
+  }
+  candidate.tokens = isCached ? aChoice.ownTokens : aChoice.allTokens;
+  if (isPreferred && !isCached) {
+    const auto shared =
+      static_cast<double>(aChoice.allTokens - aChoice.ownTokens);
+    candidate.tokens = aChoice.ownTokens + static_cast<std::uint64_t>(
+                                             kPreferredUncachedShare * shared);
+  }
+  candidate.capacity = EstimateCapacity(aBackend,
+                                        this->speed,
+                                        aChoice.traits,
+                                        request.loadAge,
+                                        this->usualMemoryTokens,
+                                        aChoice.now);
+  const EngineCapacity& capacity = candidate.capacity;
+  const double base =
+    aChoice.traits != nullptr
+      ? capacity.FirstEventMs(static_cast<double>(candidate.tokens))
+      : PlainResponseMs(
+          aBackend, request.loadAge, this->usualResponseMs, aChoice.now);
+  candidate.expectedMs = base + aBackend.failureRate * kFailureCostMs;
+  candidate.atCapacity = capacity.fill >= 1 + kQueueShare;
+  const bool noMemory =
+    capacity.freeTokens &&
+    *capacity.freeTokens < static_cast<double>(request.memoryTokens);
+  double score = candidate.score + candidate.expectedMs;
+  if (aBackend.entry.zone != this->zone) {
+    score += hasSection ? kCachedCrossZoneCostMs : kCrossZoneCostMs;
+  }
+  score +=
+    aChoice.preferred == nullptr || hasSection ? 0 : kPreferredEngineBonusMs;
+  score += candidate.atCapacity ? kNoRoomMs : 0;
+  score += noMemory ? kNoMemoryMs : 0;
+  if (aChoice.traits != nullptr) {
+    score += this->CostToOthers(candidate, request.isLong);
+  }
+  candidate.score = score;
+  return candidate;
+}
+
+Placement
+Placer::ToPlacement(const Candidate& aBest, const LoadAge& aAge) const
+{
+  const Backend& backend = *aBest.backend;
+  const EngineCapacity& capacity = aBest.capacity;
+  Placement placement;
+  placement.backend = backend.entry.id;
+  placement.expectedMs = aBest.expectedMs;
+  placement.uncachedTokens = aBest.tokens;
+  placement.queuedTokens = static_cast<std::uint64_t>(std::max<std::int64_t>(
+    0, backend.localLoad.promptTokens + backend.remoteLoad.promptTokens));
+  placement.atCapacity = aBest.atCapacity;
+  placement.freeSlots = capacity.freeSlots;
+  placement.prefillAheadMs = capacity.prefillAheadMs;
+  placement.prefillMs =
+    static_cast<double>(aBest.tokens) * capacity.msPerPromptToken;
+  placement.aheadTokens = capacity.aheadTokens;
+  placement.knowsQueue = aAge.fresh >= 1;
+  placement.knownAheadTokens =
+    placement.knowsQueue ? capacity.aheadTokens
+                         : static_cast<double>(backend.localLoad.promptTokens);
+  placement.usualStepMs = this->speed.outputTokenMs * (1 + capacity.fill);
+  placement.usualMs =
+    (placement.knownAheadTokens + static_cast<double>(aBest.tokens)) /
+      this->speed.promptTokensPerMs +
+    placement.usualStepMs + capacity.queued * EngineCapacity::kQueuedRequestMs;
+  return placement;
 }
 
 std::optional<Placement>
@@ -127,6 +286,7 @@
                TimePoint aNow) const
 {
   std::vector<Backend*> eligible;
+  eligible.reserve(aBackends.size());
   for (Backend* backend : aBackends) {
     if (IsEligible(*backend, aRequest, aNow)) {
       eligible.push_back(backend);
@@ -141,61 +301,130 @@
         return aLeft->TotalRunning() < aRight->TotalRunning();
       }) };
   }
-  const std::uint64_t all = TotalTokens(aRequest.prompt);
-  const std::uint64_t own = UnsharedTokens(aRequest.prompt);
-  const std::vector<InstanceId>& cachedOn = aRequest.cachedBackends;
+  Choice choice{ aRequest,
+                 aTraits,
+                 nullptr,
+                 TotalTokens(aRequest.prompt),
+                 UnsharedTokens(aRequest.prompt),
+                 aNow };
+  if (aRequest.loadAge.fresh < 1) {
+    choice.drawnShare = DrawnShares(eligible);
+  }
   const std::string shared = SharedSectionId(aRequest.prompt);
-  InstanceId preferred;
   if (aTraits != nullptr && !shared.empty()) {
-    preferred = PreferredEngineOf(shared, eligible, aRequest.rateLimited);
+    const std::optional<bool> pool =
+      this->pools.Active() ? std::optional(aRequest.isLong) : std::nullopt;
+    choice.preferred =
+      PreferredEngineOf(shared, eligible, aRequest.rateLimited, pool);
+    if (choice.preferred == nullptr && pool) {
+      choice.preferred =
+        PreferredEngineOf(shared, eligible, aRequest.rateLimited, std::nullopt);
+    }
   }
-  Placement best;
-  double bestScore = std::numeric_limits<double>::max();
+  std::optional<Candidate> best;
   for (const Backend* backend : eligible) {
-    const InstanceId& id = backend->entry.id;
-    const bool isCached =
-      std::find(cachedOn.begin(), cachedOn.end(), id) != cachedOn.end();
-    std::uint64_t tokens = isCached ? own : all;
-    if (!isCached && id == preferred) {
-      tokens = own + static_cast<std::uint64_t>(kPreferredUncachedShare *
-                                                static_cast<double>(all - own));
-    }
-    const double expected = this->ExpectedMs(*backend, tokens);
-    double score = expected;
-    score += backend->entry.zone == this->zone ? 0 : kCrossZoneCostMs;
-    score += preferred.Empty() || id == preferred || isCached
-               ? 0
-               : kPreferredEngineBonusMs;
-    if (score < bestScore) {
-      bestScore = score;
-      const double capacity = backend->entry.slots * (1 + kQueueShare);
-      best = Placement{
-        backend->entry.id,
-        expected,
-        tokens,
-        static_cast<std::uint64_t>(std::max<std::int64_t>(
-          0,
-          backend->localLoad.promptTokens + backend->remoteLoad.promptTokens)),
-        static_cast<double>(backend->TotalRunning()) >= capacity
-      };
+    const double bound =
+      best ? best->score : std::numeric_limits<double>::max();
+    const Candidate candidate = this->Rate(*backend, choice, bound);
+    if (!best || candidate.score < best->score) {
+      best = candidate;
     }
   }
-  return best;
+  return this->ToPlacement(*best, aRequest.loadAge);
 }
 
+namespace {
+
+/** Steps of a fixed ratio converge to the median of the observed values. Some
+ * responses have a cached prompt and others wait for prompts that are unknown
+ * here; a mean would follow these outliers. */
+double
+StepTowards(double aEstimate, double aObserved)
+{
+  constexpr double kStep = 0.03; // follows a change of speed in 30 responses
+  return aObserved > aEstimate ? aEstimate * (1 + kStep)
+                               : aEstimate / (1 + kStep);
+}
+
+/** \param aAverage of about the last fifty values; 0: none yet */
 void
-Placer::RecordResponseStart(double aTokens, double aMs)
+AddToAverage(std::uint64_t aTokens, double& aAverage)
+{
+  constexpr double kLatestWeight = 0.02;
+  const auto tokens = static_cast<double>(aTokens);
+  aAverage =
+    aAverage > 0 ? aAverage + kLatestWeight * (tokens - aAverage) : tokens;
+}
+
+} // namespace
+
+void
+Placer::RecordResponseStart(const Placement& aPlacement, double aMs)
 {
   constexpr double kMinTokens = 2000; // other delays dominate below
-  constexpr double kStep = 0.03; // follows a change of speed in 30 responses
-  if (aTokens < kMinTokens || aMs <= 0) {
+  if (!(aMs > 0)) {
+    return;
+  }
+  this->usualResponseMs = StepTowards(this->usualResponseMs, aMs);
+  const double tokens =
+    aPlacement.aheadTokens + static_cast<double>(aPlacement.uncachedTokens);
+  if (tokens >= kMinTokens) {
+    this->speed.promptTokensPerMs =
+      StepTowards(this->speed.promptTokensPerMs, tokens / aMs);
+    this->learnedStarts = std::min(this->learnedStarts + 1, kLearnedResponses);
+  }
+}
+
+void
+Placer::RecordSteps(const Placement& aPlacement, double aTokenMs)
+{
+  const double usual = aPlacement.usualStepMs;
+  if (!(aTokenMs > 0) || !(usual > 0)) {
+    return;
+  }
+  const double current = this->speed.outputTokenMs;
+  this->speed.outputTokenMs = std::clamp(
+    StepTowards(current, aTokenMs / usual * current), kMinTokenMs, kMaxTokenMs);
+}
+
+void
+Placer::RecordMemory(std::uint64_t aTokens)
+{
+  AddToAverage(aTokens, this->usualMemoryTokens);
+}
+
+void
+Placer::RecordOutput(int aPriority, std::uint64_t aTokens)
+{
+  AddToAverage(aTokens, this->usualOutputs[aPriority]);
+}
+
+std::uint64_t
+Placer::UsualOutput(int aPriority) const
+{
+  const auto found = this->usualOutputs.find(aPriority);
+  return found == this->usualOutputs.end()
+           ? 0
+           : static_cast<std::uint64_t>(found->second);
+}
+
+void
+Placer::AdoptSpeed(const EngineSpeed& aReported)
+{
+  const bool prefillUsable = aReported.promptTokensPerMs >= kMinTokensPerMs &&
+                             aReported.promptTokensPerMs <= kMaxTokensPerMs;
+  const bool stepsUsable = aReported.outputTokenMs >= kMinTokenMs &&
+                           aReported.outputTokenMs <= kMaxTokenMs;
+  this->reportedTokensPerMs = prefillUsable ? aReported.promptTokensPerMs : 0;
+  if (this->HasLearnedSpeed()) {
     return;
   }
-  // Steps of a fixed ratio converge to the median of the observed speeds. Some
-  // responses have a cached prompt and others wait for prompts that are unknown
-  // here; a mean would follow these outliers.
-  const bool faster = aTokens / aMs > this->speed.promptTokensPerMs;
-  this->speed.promptTokensPerMs *= faster ? 1 + kStep : 1 / (1 + kStep);
+  if (prefillUsable) {
+    this->speed.promptTokensPerMs = aReported.promptTokensPerMs;
+  }
+  if (stepsUsable) {
+    this->speed.outputTokenMs = aReported.outputTokenMs;
+  }
 }
 
 } // namespace toucanshed
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -2,7 +2,9 @@
 // it. RequestForwarder.cpp has the sends and what the caller gets.
 #include "RequestForwarder.h"
 
+#include "PeerMessenger.h"
 #include "ServingState.h"
+#include "base/Hash.h"
 #include "edge/Worker.h"
 
 #include <algorithm>
@@ -40,6 +42,7 @@
     spec != nullptr && spec->engine ? &*spec->engine : nullptr;
   this->state.CheckForPause();
   const TimePoint now = ServingState::Now();
+  this->AddCapacityInputs(placementRequest, traits, now);
   SendChoice choice =
     this->state.sendGate.Choose(this->request.service, this->isAllowed, now);
   this->wait = choice.wait;
@@ -54,6 +57,35 @@
     choice.backends, placementRequest, traits, now);
 }
 
+void
+RequestForwarder::AddCapacityInputs(PlacementRequest& aRequest,
+                                    const EngineTraits* aTraits,
+                                    TimePoint aNow)
+{
+  constexpr int kMeanAgeParts = 2; // a report's age is half an interval
+  const ServiceId& service = this->request.service;
+  Placer& placer = this->ServicePlacer();
+  aRequest.memoryTokens = this->HeldTokens();
+  const std::size_t daemons = this->state.DaemonCount();
+  const bool knowsSends = daemons <= PeerMessenger::kMaxNoticeDaemons;
+  if (!knowsSends) {
+    aRequest.loadAge =
+      LoadAge(PeerMessenger::MeanInterval(daemons) / kMeanAgeParts);
+    aRequest.spreadKey = Hash64(this->request.incoming.attempt.value);
+  }
+  if (aTraits == nullptr) {
+    return;
+  }
+  if (placer.ArePoolsDue(aNow)) {
+    placer.AdoptSpeed(this->state.peers.UsualSpeed(service, aNow));
+    placer.UpdatePools(this->state.backends.ForService(service),
+                       knowsSends ? std::nullopt
+                                  : this->state.longPromptShare(service, aNow),
+                       aNow);
+  }
+  aRequest.isLong = this->HasLongPrompt();
+}
+
 bool
 RequestForwarder::IsRegionAllowed(const ZoneId& aZone) const
 {
@@ -82,14 +114,12 @@
   if (!hasPrompt || this->sends > 0) {
     return DeferralDecision::eSend; // deferred only before its first send
   }
-  const double prefillMs = static_cast<double>(aPlacement.uncachedTokens) /
-                           this->ServicePlacer().Speed().promptTokensPerMs;
   return DeferralPolicy::Decide(
     DeferralInput{ ServingState::Now() - this->request.arrived,
                    this->request.route->latencyTarget,
                    this->TimeLeft(),
                    aPlacement.expectedMs,
-                   prefillMs,
+                   aPlacement.prefillMs,
                    aPlacement.queuedTokens == 0 });
 }
 
--- a/src/serve/BackendLoadGuard.h
+++ b/src/serve/BackendLoadGuard.h
@@ -5,6 +5,8 @@
 
 #include "coord/BackendTable.h"
 
+#include <algorithm>
+
 namespace toucanshed {
 
 /**
@@ -16,19 +18,28 @@
   BackendLoadGuard(BackendTable& aTable,
                    InstanceId aBackend,
                    std::int64_t aPromptTokens,
+                   std::uint64_t aHeldTokens,
                    TimePoint aNow)
     : table(aTable)
     , backend(std::move(aBackend))
     , load{ 1, aPromptTokens }
+    , heldTokens(aHeldTokens)
   {
     if (Backend* found = this->table.Find(this->backend)) {
       found->lastSentAt = aNow;
       const bool idle = found->localLoad.running == 0;
       found->lastProgressAt = idle ? aNow : found->lastProgressAt;
+      found->heldTokens += aHeldTokens;
     }
     this->AddLoad(1);
   }
-  ~BackendLoadGuard() { this->AddLoad(-1); }
+  ~BackendLoadGuard()
+  {
+    this->AddLoad(-1);
+    if (Backend* found = this->table.Find(this->backend)) {
+      found->heldTokens -= std::min(found->heldTokens, this->heldTokens);
+    }
+  }
   BackendLoadGuard(const BackendLoadGuard&) = delete;
   BackendLoadGuard& operator=(const BackendLoadGuard&) = delete;
 
@@ -53,6 +64,7 @@
   BackendTable& table;
   InstanceId backend;
   BackendLoad load;
+  std::uint64_t heldTokens; // of the engine's memory, prompt and output
 };
 
 } // namespace toucanshed
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -317,7 +317,7 @@
   this->state.rejectionLimits.Expire(aNow);
   DropExpiredBackends(this->state, aNow);
   EndMissingDrains(this->state, aNow);
-  this->state.backends.SetRemoteLoads(this->state.peers.Loads(aNow));
+  this->state.backends.SetRemoteLoads(this->state.peers.Loads(aNow), aNow);
   this->state.UpdateQuotas(aNow);
 }
 
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -277,6 +277,14 @@
     auto* entry = heartbeat.add_services();
     entry->set_service(service.value);
     entry->set_prompt_tokens_per_s(meter.At(now));
+    const auto placer = aState.placers.find(service);
+    const bool learned =
+      placer != aState.placers.end() && placer->second.HasLearnedSpeed();
+    if (learned) {
+      const EngineSpeed& speed = placer->second.Speed();
+      entry->set_prefill_tokens_per_ms(speed.promptTokensPerMs);
+      entry->set_output_token_ms(speed.outputTokenMs);
+    }
   }
   *heartbeat.mutable_rollouts() = MakeRolloutReports(aState).rollouts();
   for (const SuspectReport& report :
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -128,6 +128,11 @@
     this->state.retries.RecordRequest(this->request.service, now);
     this->state.requestRates[this->request.service].Add(1, now);
   }
+  if (this->ExceedsEngineMemory()) {
+    this->lastFailure = "the prompt exceeds the engines' memory";
+    co_await this->SendRejection(this->lastFailure);
+    co_return;
+  }
   while (true) {
     if (this->abort->Aborted() || this->responder.HasReceiverLeft()) {
       this->LogEnd(0, "caller left");
@@ -376,7 +381,9 @@
   BackendLoadGuard guard(this->state.backends,
                          aPlacement.backend,
                          static_cast<std::int64_t>(aPlacement.uncachedTokens),
+                         this->HeldTokens(),
                          this->sentAt);
+  this->RecordSentWork(aPlacement);
   this->loadGuard = &guard;
   const std::string sharedSection =
     SharedSectionId(this->request.incoming.prompt);
@@ -461,10 +468,12 @@
 Task<void>
 RequestForwarder::SendRejection(std::string aReason)
 {
-  const Millis retryAfter =
-    RetryDelayFor(this->state,
-                  this->TimeLeft(),
-                  this->allRefused ? this->wait : std::nullopt);
+  std::optional<Millis> retryAfter;
+  if (!this->ExceedsEngineMemory()) { // a retry would be rejected again
+    retryAfter = RetryDelayFor(this->state,
+                               this->TimeLeft(),
+                               this->allRefused ? this->wait : std::nullopt);
+  }
   HttpResponse response = MakeLocalResponse(this->state,
                                             this->request.incoming.attempt,
                                             kServiceUnavailable,
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -23,6 +23,7 @@
 class BackendLoadGuard;
 struct BackendResponseHead;
 struct CrashCheck;
+struct EngineTraits;
 struct NamedLimit;
 struct ServingState;
 
@@ -148,6 +149,26 @@
                    const NamedLimit& aNamed,
                    const char* aEvent);
   void RecordResponseStart(const Placement& aPlacement);
+  /** Adds what placement needs to know of the request, the load reports and the
+   * pools. */
+  void AddCapacityInputs(PlacementRequest& aRequest,
+                         const EngineTraits* aTraits,
+                         TimePoint aNow);
+  /** The properties of the service's engines; null when not configured. */
+  [[nodiscard]] const EngineTraits* Traits() const;
+  /** Whether no engine of the service can hold the prompt. */
+  [[nodiscard]] bool ExceedsEngineMemory() const;
+  [[nodiscard]] bool HasLongPrompt();
+  [[nodiscard]] std::uint64_t ExpectedOutput();
+  /** Tokens that the request holds in an engine's memory. */
+  [[nodiscard]] std::uint64_t HeldTokens();
+  void RecordSentWork(const Placement& aPlacement);
+  /** Records a rejection for lack of room. */
+  void RecordSlotRejection(const BackendResponseHead& aHead);
+  /** Records when the response began, as evidence of its engine's speed. */
+  void RecordSpeed(const Placement& aPlacement, TimePoint aNow);
+  /** Records the length and the pace of a complete stream. */
+  void RecordOutput(const Placement& aPlacement);
   /** Records the send as evidence about its back end's version. */
   void RecordEvidence(const InstanceId& aBackend, SendOutcome aOutcome);
   SendOutcome ClassifyError(const CallError& aError);
@@ -207,6 +228,8 @@
   Millis deferredFor{ 0 }; // for other requests that could still start on time
   Millis longestGap{ 0 };  // between two pieces of the stream to the caller
   std::string lastFailure; // why the last send failed
+  /** Events of the stream up to the first ones of the current response. */
+  std::uint64_t eventsAtStart = 0;
 };
 
 } // namespace toucanshed
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -37,6 +37,7 @@
   if (head.notRun) {
     this->lastFailure =
       "turned away with " + std::to_string(aExchange.Status());
+    this->RecordSlotRejection(head);
     co_return SendOutcome::eNotRun;
   }
   this->state.sendGate.RecordAccepted(this->ticket, ServingState::Now());
@@ -157,12 +158,7 @@
   this->responseStartedAt = now;
   if (this->peer.Empty()) {
     this->loadGuard->RecordFirstToken();
-    const auto elapsedMs = static_cast<double>((now - this->sentAt).count());
-    this->ServicePlacer().RecordResponseStart(
-      static_cast<double>(aPlacement.uncachedTokens + aPlacement.queuedTokens),
-      elapsedMs);
-    this->state.backends.RecordResponseStart(
-      aPlacement.backend, elapsedMs, aPlacement.expectedMs);
+    this->RecordSpeed(aPlacement, now);
   }
   this->state.metrics.RecordFirstToken(
     static_cast<double>((now - this->request.arrived).count()));
@@ -215,6 +211,7 @@
   co_await this->responder.End();
   this->RecordWritten();
   this->state.backends.RecordSuccess(aPlacement.backend);
+  this->RecordOutput(aPlacement);
   this->LogEnd(kOk, "streamed");
   co_return SendOutcome::eResponded;
 }
--- a/test/correctness/BackendTableTest.cpp
+++ b/test/correctness/BackendTableTest.cpp
@@ -59,11 +59,11 @@
   table.Find(InstanceId{ "e2" })->localLoad.running = 3;
   table.Find(InstanceId{ "e2" })->lastProgressAt = kNow;
   for (int i = 0; i < 20; ++i) {
-    table.RecordResponseStart(InstanceId{ "e1" }, 400, 50);
+    table.RecordResponseStart(InstanceId{ "e1" }, 400, 50, true, kNow);
   }
   CHECK(ChooseOne(table, kNow)->backend.value == "e2");
   for (int i = 0; i < 20; ++i) {
-    table.RecordResponseStart(InstanceId{ "e1" }, 50, 50);
+    table.RecordResponseStart(InstanceId{ "e1" }, 50, 50, true, kNow);
   }
   CHECK(ChooseOne(table, kNow)->backend.value == "e1");
 }
