--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "BackendTable.h"
+#include "EngineCapacity.h"
 #include "RelayChoice.h"
 #include "ServiceDemand.h"
 #include "base/StorePosition.h"
@@ -126,6 +127,10 @@
    * next one is. Reads all heartbeats, so it is not meant for each request. */
   [[nodiscard]] ServiceDemand OfferedLoad(const ServiceId& aService,
                                           TimePoint aNow) const;
+  /** Median of what the other live daemons have learned of a service's engines;
+   * 0 where none has learned anything. */
+  [[nodiscard]] EngineSpeed UsualSpeed(const ServiceId& aService,
+                                       TimePoint aNow) const;
   /** Live daemons that have not reported final counts for a window. */
   [[nodiscard]] std::vector<DaemonId> PendingDaemons(std::uint64_t aWindow,
                                                      TimePoint aNow) const;
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -1,30 +1,13 @@
 #include "EngineDemand.h"
 
 #include "ServingState.h"
+#include "coord/PromptPools.h"
 #include "coord/RequiredEngines.h"
 
 namespace toucanshed {
 
 namespace {
 
-/** The smallest latency target of the routes to a service. */
-std::optional<Millis>
-SmallestTarget(const Catalog& aCatalog, const ServiceId& aService)
-{
-  std::optional<Millis> smallest;
-  for (const Route& route : aCatalog.routes) {
-    for (const RouteTarget& target : route.targets) {
-      const bool counts =
-        target.service == aService && route.latencyTarget > Millis(0);
-      if (counts) {
-        smallest =
-          std::min(smallest.value_or(route.latencyTarget), route.latencyTarget);
-      }
-    }
-  }
-  return smallest;
-}
-
 /** Mean prompt of the priorities, weighted by the tokens of each. */
 double
 MeanPromptTokens(const ServiceDemand& aDemand)
@@ -72,7 +55,10 @@
     load.prefillTokensPerMs = placer->second.Speed().promptTokensPerMs;
   }
   if (aState.catalog != nullptr) {
-    load.smallestTarget = SmallestTarget(*aState.catalog, aService.id);
+    const Millis smallest = SmallestTarget(*aState.catalog, aService.id);
+    if (smallest > Millis(0)) {
+      load.smallestTarget = smallest;
+    }
   }
   return RequiredFor(load, *aService.engine);
 }
--- a/src/serve/OfferedRequests.cpp
+++ b/src/serve/OfferedRequests.cpp
@@ -26,8 +26,8 @@
 bool
 IsLong(const ServingState& aState, const ServingRequest& aRequest)
 {
-  return aState.isLongPrompt(aRequest.service,
-                             TotalTokens(aRequest.incoming.prompt));
+  return aState.HasLongPrompt(aRequest.service,
+                              TotalTokens(aRequest.incoming.prompt));
 }
 
 } // namespace
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -116,6 +116,21 @@
   }
 }
 
+void
+AddLearnedSpeed(const ServingState& aState,
+                const ServiceId& aService,
+                serving::ServiceLoad& aLoad)
+{
+  const auto placer = aState.placers.find(aService);
+  const bool learned =
+    placer != aState.placers.end() && placer->second.HasLearnedSpeed();
+  if (learned) {
+    const EngineSpeed& speed = placer->second.Speed();
+    aLoad.set_prefill_tokens_per_ms(speed.promptTokensPerMs);
+    aLoad.set_output_token_ms(speed.outputTokenMs);
+  }
+}
+
 void
 AddServiceLoads(const ServingState& aState,
                 TimePoint aNow,
@@ -138,6 +153,7 @@
   }
   for (const auto& [service, entry] : entries) {
     AddPriorities(aState.offeredLoad.At(service, aNow), *entry);
+    AddLearnedSpeed(aState, service, *entry);
   }
 }
 
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -2,6 +2,7 @@
 
 #include "PeerMessenger.h"
 #include "base/Hash.h"
+#include "coord/PromptPools.h"
 #include "coord/StoreReaders.h"
 
 #include <chrono>
@@ -108,6 +109,19 @@
   return this->catalog != nullptr && this->backendsRead && !this->stopping;
 }
 
+bool
+ServingState::HasLongPrompt(const ServiceId& aService,
+                            std::uint64_t aTokens) const
+{
+  const auto placer = this->placers.find(aService);
+  if (this->catalog == nullptr || placer == this->placers.end()) {
+    return false;
+  }
+  return IsLongPrompt(static_cast<double>(aTokens),
+                      placer->second.AgreedTokensPerMs(),
+                      SmallestTarget(*this->catalog, aService));
+}
+
 std::optional<std::size_t>
 ServingState::StoreReaderRank() const
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -18,6 +18,7 @@
 #include "coord/ExposureBudget.h"
 #include "coord/LimitShares.h"
 #include "coord/ListRevisions.h"
+#include "coord/LongPromptMeter.h"
 #include "coord/LoopLag.h"
 #include "coord/OfferedLoad.h"
 #include "coord/PauseDetector.h"
@@ -85,6 +86,10 @@
   {
     return this->StoreReaderRank().has_value();
   }
+  /** Whether a prompt with this many tokens is a long one for the service, by
+   * the configuration in force and the speed that all daemons agree on. */
+  [[nodiscard]] bool HasLongPrompt(const ServiceId& aService,
+                                   std::uint64_t aTokens) const;
   /** Updates the teams' quotas with what the other daemons have reported about
    * them. */
   void UpdateQuotas(TimePoint aNow);
@@ -130,15 +135,18 @@
   LoopLag loopLag;
   RetryCredit retries;
   OfferedLoad offeredLoad; // admitted here
-  /** Whether a prompt with this many tokens to prefill is a long one for the
-   * service; none is unless placement tells long prompts apart. */
-  std::function<bool(const ServiceId&, std::uint64_t aTokens)> isLongPrompt =
-    [](const ServiceId&, std::uint64_t) { return false; };
   TeamQuotas quotas;
   QuotaExchange quotaExchange;
   UsageWindows usage;
   ReportedUsage reportedUsage;
   std::map<ServiceId, RateMeter> promptRates; // prompt tokens sent for prefill
+  std::map<ServiceId, LongPromptMeter> longPromptMeters; // of own sends
+  /** The part of a service's required capacity that long prompts make up;
+   * nothing while it is unknown. */
+  std::function<std::optional<double>(const ServiceId&, TimePoint)>
+    longPromptShare = [this](const ServiceId& aService, TimePoint) {
+      return this->longPromptMeters[aService].Share();
+    };
   CrashSuspects crashSuspects;
   Rollouts rollouts;
   /** Snapshots of the operators' topic that brought active rollouts, which may
