--- a/src/coord/SlotReservation.cpp
+++ b/src/coord/SlotReservation.cpp
@@ -80,11 +80,12 @@
   const double arrivals =
     urgentPerS * urgentTargetMs / kMillisPerSecond /
     static_cast<double>(std::max<std::size_t>(1, aEngines));
-  const double freed = aSlots * urgentTargetMs / std::max(1.0, aSlotMs);
+  const double slots = std::max(1.0, aSlots);
+  const double freed = slots * urgentTargetMs / std::max(1.0, aSlotMs);
   reservation.reservedSlots =
     std::clamp(arrivals + kReservedDeviations * std::sqrt(arrivals) - freed,
                0.0,
-               kMaxReservedPart * aSlots);
+               kMaxReservedPart * slots);
   return reservation;
 }
 
--- a/src/coord/SlotReservation.h
+++ b/src/coord/SlotReservation.h
@@ -39,8 +39,8 @@
  * latency target, than slots become free. Prefill is not preempted: half of the
  * smallest target of a more urgent route bounds what may be ahead of it.
  *
- * \param aEngines engines of the service, at least 1
- * \param aSlots slots of one of them, at least 1
+ * \param aEngines engines of the service; 0 counts as 1
+ * \param aSlots slots of one of them; less than 1 counts as 1
  * \param aSlotMs mean time that a request occupies a slot */
 Reservation
 DeriveReservation(int aPriority,
@@ -93,7 +93,8 @@
  * The most urgent requests may start up to the engine's limit, because its own
  * queue lets them pass all others. Less urgent ones leave their reservation
  * free. While reports are stale, all daemons see the same free slot and would
- * use it; so they also need an allowed start of their daemon's budget.
+ * use it; so they also need room in their daemon's share, and some more for the
+ * queue in the engines.
  *
  * Thread safety: pure. An engine with less than one slot counts as having one.
  */
