Unknown rate of starts: longer, and not zero without a start

Cause: requests that began to wait together at an engine whose responses take 360 ms were rejected after 240 ms: no start in 200 ms counted as a rate of 0 (seen in test_failure "urgent requests overtake*": 8 of 13 requests arrived).

The rate is unknown for 500 ms of waiting, and then at least one start in the observed time.

--- a/src/coord/StartRate.cpp
+++ b/src/coord/StartRate.cpp
@@ -49,7 +49,8 @@
   }
   const double count =
     std::accumulate(this->starts.begin() + aPriority, this->starts.end(), 0.0);
-  return count * decay / observed;
+  // Without a start so far, one may still come in as much time again.
+  return std::max(1.0, count * decay) / observed;
 }
 
 } // namespace toucanshed
--- a/src/coord/StartRate.h
+++ b/src/coord/StartRate.h
@@ -36,8 +36,9 @@
 {
 public:
   static constexpr Millis kAveragingTime{ 1500 };
-  /** Observed time below which the rate is unknown. */
-  static constexpr Millis kMinObserved{ 200 };
+  /** Observed time below which the rate is unknown; several responses end in
+   * it, unless an engine is slow. */
+  static constexpr Millis kMinObserved{ 500 };
 
   /** Accounts for the time since the last call.
    * \param aWaiting whether requests have waited in it */
