Waiting requests start in order when capacity appears, instead of polling

Cause: "all back ends are full" rejected even the most urgent request at once, and each deferred request polled every 40 ms for itself, so chance decided which one got the next free slot.

RequestForwarder enters the service's RequestQueue when no engine has room, or when others wait. RequestQueues offers the waiting requests, in order, when a response begins or ends, an engine appears or a heartbeat arrives, and each 40 ms. One request starts at a time; the next follows when the first is part of its engine's load. A waiting request still looks for its caller and its deadline in each turn of Run. Where the chosen engine has no room, another one that has may be taken. Services without engine properties keep the previous path.

Retry-After of such services follows the priority and the expected wait (RetryWindow). Logs: request.deferred and request.rejected, once for each decision; request.ended and request.refused have the priority. Metrics: gauge toucanshed_waiting_requests by service and priority, counter toucanshed_queue_rejections_total by reason and priority.

Found by the test with real parts (test_failure "urgent requests overtake*"): requests were rejected for their deadline by estimates from few starts. Within the first second the starts of all priorities count, and a request that waits is rejected for its deadline by half of the expected wait only.

Not taken: waking all waiting requests, which would choose an engine for each of them at each response.

--- a/src/coord/RequestQueue.cpp
+++ b/src/coord/RequestQueue.cpp
@@ -211,15 +211,17 @@
   const bool isFirst = order.CountAhead(*item, aNow) == 0;
   const Millis wait = isFirst ? Millis(0) : this->ExpectedWait(aTicket, aNow);
   const Millis needed = wait + request.expected;
-  if (aNow + needed >= request.deadline) {
+  const bool isNew = item->pushed == aNow;
+  // The estimate varies, and a request that waits would lose its place by it.
+  const Millis leastNeeded = (isNew ? wait : wait / 2) + request.expected;
+  if (aNow + leastNeeded >= request.deadline) {
     return QueueRejection::eDeadline;
   }
   if (request.target <= Millis(0)) {
     return std::nullopt;
   }
   const auto target = static_cast<double>(request.target.count());
-  const double allowed =
-    target * (item->pushed == aNow ? 1 : WaitingRequest::kMaxWaitTargets);
+  const double allowed = target * (isNew ? 1 : WaitingRequest::kMaxWaitTargets);
   const Millis begins = aNow - request.arrived + needed;
   const auto left = static_cast<double>((request.deadline - aNow).count());
   const bool retryMayBeOnTime = left * (1 - kRetryFraction) >= target;
--- a/src/coord/StartRate.cpp
+++ b/src/coord/StartRate.cpp
@@ -47,8 +47,10 @@
   if (observed < static_cast<double>(kMinObserved.count())) {
     return std::nullopt;
   }
-  const double count =
-    std::accumulate(this->starts.begin() + aPriority, this->starts.end(), 0.0);
+  // Over a short time, a burst of urgent requests is no lasting demand.
+  const bool isShort = observed < 2 * static_cast<double>(kMinObserved.count());
+  const double count = std::accumulate(
+    this->starts.begin() + (isShort ? 0 : aPriority), this->starts.end(), 0.0);
   // Without a start so far, one may still come in as much time again.
   return std::max(1.0, count * decay) / observed;
 }
--- a/src/edge/Metrics.cpp
+++ b/src/edge/Metrics.cpp
@@ -35,6 +35,15 @@
   this->counters[{ aName, aLabels }] += aAdd;
 }
 
+void
+Metrics::Set(const std::string& aName,
+             const std::string& aLabels,
+             std::uint64_t aValue)
+{
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->gauges[{ aName, aLabels }] = aValue;
+}
+
 void
 Metrics::RecordFirstToken(double aMilliseconds)
 {
@@ -81,21 +90,30 @@
   aText += text.str();
 }
 
-std::string
-Metrics::ToPrometheusText()
+void
+Metrics::WriteValues(const Values& aValues,
+                     const std::string& aType,
+                     std::string& aText)
 {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  std::string text;
   std::string previousName;
-  for (const auto& [key, value] : this->counters) {
+  for (const auto& [key, value] : aValues) {
     const auto& [name, labels] = key;
     if (name != previousName) {
-      text += "# TYPE " + name + " counter\n";
+      aText += "# TYPE " + name + " " + aType + "\n";
       previousName = name;
     }
-    text += name + (labels.empty() ? "" : "{" + labels + "}") + " " +
-            std::to_string(value) + "\n";
+    aText += name + (labels.empty() ? "" : "{" + labels + "}") + " " +
+             std::to_string(value) + "\n";
   }
+}
+
+std::string
+Metrics::ToPrometheusText()
+{
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::string text;
+  WriteValues(this->counters, "counter", text);
+  WriteValues(this->gauges, "gauge", text);
   WriteHistogram("toucanshed_first_token_ms", this->firstToken, text);
   WriteHistogram("toucanshed_token_gap_ms", this->tokenGap, text);
   WriteHistogram("toucanshed_loop_lag_ms", this->loopLag, text);
--- a/src/edge/Metrics.h
+++ b/src/edge/Metrics.h
@@ -22,6 +22,10 @@
   void Count(const std::string& aName,
              const std::string& aLabels = {},
              std::uint64_t aAdd = 1);
+  /** Sets a gauge, a value that may also fall. */
+  void Set(const std::string& aName,
+           const std::string& aLabels,
+           std::uint64_t aValue);
   void RecordFirstToken(double aMilliseconds);
   void RecordTokenGap(double aMilliseconds);
   /** How late the event loop handles what is ready. */
@@ -35,12 +39,18 @@
     boost::histogram::axis::regular<double,
                                     boost::histogram::axis::transform::log>{}));
 
+  using Values = std::map<std::pair<std::string, std::string>, std::uint64_t>;
+
+  static void WriteValues(const Values& aValues,
+                          const std::string& aType,
+                          std::string& aText);
   static void WriteHistogram(const std::string& aName,
                              const Histogram& aHistogram,
                              std::string& aText);
 
   std::mutex mutex;
-  std::map<std::pair<std::string, std::string>, std::uint64_t> counters;
+  Values counters;
+  Values gauges;
   Histogram firstToken;
   Histogram tokenGap;
   Histogram loopLag;
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -27,17 +27,14 @@
 }
 
 std::optional<Placement>
-RequestForwarder::ChooseBackend()
+RequestForwarder::ChooseBackend(
+  const std::function<bool(const Backend&)>& aIsEligible)
 {
   PlacementRequest placementRequest;
   placementRequest.prompt = this->request.incoming.prompt;
   placementRequest.triedBackends = this->triedBackends;
   placementRequest.cachedBackends = this->state.prefixCacheIndex.CachedBackends(
     SharedSectionId(placementRequest.prompt), ServingState::Now());
-  const ServiceSpec* spec =
-    this->request.catalog->FindService(this->request.service);
-  const EngineTraits* traits =
-    spec != nullptr && spec->engine ? &*spec->engine : nullptr;
   this->state.CheckForPause();
   const TimePoint now = ServingState::Now();
   SendChoice choice =
@@ -45,13 +42,18 @@
   this->wait = choice.wait;
   this->waitReason = choice.waitReason;
   this->allRefused = choice.backends.empty();
+  if (aIsEligible) {
+    std::erase_if(choice.backends, [&](const Backend* aBackend) {
+      return !aIsEligible(*aBackend);
+    });
+  }
   placementRequest.rateLimited = std::move(choice.limited);
   placementRequest.leastBusy =
     this->state.crashSuspects
       .TrialNeeded(this->request.suspects, this->state.ClusterNow())
       .has_value();
   return this->ServicePlacer().Choose(
-    choice.backends, placementRequest, traits, now);
+    choice.backends, placementRequest, this->Traits(), now);
 }
 
 bool
@@ -75,6 +77,17 @@
          (team == nullptr || allows(team->allowedRegions));
 }
 
+DeferralInput
+RequestForwarder::MakeDeferralInput(const Placement& aPlacement)
+{
+  return DeferralInput{ ServingState::Now() - this->request.arrived,
+                        this->request.route->latencyTarget,
+                        this->TimeLeft(),
+                        aPlacement.expectedMs,
+                        this->PrefillMs(aPlacement),
+                        aPlacement.queuedTokens == 0 };
+}
+
 DeferralDecision
 RequestForwarder::DecideDeferral(const Placement& aPlacement)
 {
@@ -82,15 +95,7 @@
   if (!hasPrompt || this->sends > 0) {
     return DeferralDecision::eSend; // deferred only before its first send
   }
-  const double prefillMs = static_cast<double>(aPlacement.uncachedTokens) /
-                           this->ServicePlacer().Speed().promptTokensPerMs;
-  return DeferralPolicy::Decide(
-    DeferralInput{ ServingState::Now() - this->request.arrived,
-                   this->request.route->latencyTarget,
-                   this->TimeLeft(),
-                   aPlacement.expectedMs,
-                   prefillMs,
-                   aPlacement.queuedTokens == 0 });
+  return DeferralPolicy::Decide(this->MakeDeferralInput(aPlacement));
 }
 
 Millis
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -137,6 +137,9 @@
   const bool isBack = !isNew && current->graceUntil.has_value();
   const bool leaves = entry->leaving && (isNew || !current->entry.leaving);
   aState.backends.Put(*entry);
+  if (!unchanged) {
+    aState.queues.Notify();
+  }
   aState.engineLimits.RecordIncarnation(id, entry->incarnation);
   if (isNew) {
     AdoptRejectionLimit(aState, *entry);
--- a/src/serve/CallerHandler.cpp
+++ b/src/serve/CallerHandler.cpp
@@ -18,6 +18,7 @@
   std::string reason;
   std::optional<Millis> retryDelay;
   TeamId team;
+  std::optional<int> priority = std::nullopt; // once its route is known
 };
 
 constexpr unsigned kBadRequest = 400;
@@ -128,16 +129,22 @@
     aState.crashSuspects.SuspicionOf(request.suspects, aState.ClusterNow());
   if (suspicion == CrashSuspicion::eBlocked) {
     aState.metrics.Count("toucanshed_blocked_requests_total");
-    return tl::unexpected(Refusal{
-      kBadGateway, ToText(GateRefusal::eCrashesBackends), std::nullopt, {} });
+    return tl::unexpected(Refusal{ kBadGateway,
+                                   ToText(GateRefusal::eCrashesBackends),
+                                   std::nullopt,
+                                   {},
+                                   request.Priority() });
   }
   if (request.team != nullptr && !aRelayed) {
     aState.UpdateQuotas(now);
     const auto wait = aState.quotas.TryTake(
       *request.team, QuotaCostOf(*request.team, request.incoming), now);
     if (wait) {
-      return tl::unexpected(Refusal{
-        kTooManyRequests, "over the team's limit", *wait, request.team->id });
+      return tl::unexpected(Refusal{ kTooManyRequests,
+                                     "over the team's limit",
+                                     *wait,
+                                     request.team->id,
+                                     request.Priority() });
     }
     if (aState.quotas.MustReportNow(request.team->id, aState.DaemonCount())) {
       aState.sendQuota(request.team->id);
@@ -161,6 +168,8 @@
       .With("status", aRefusal.status)
       .With("why", aRefusal.reason)
       .With("team", aRefusal.team)
+      .With("priority",
+            aRefusal.priority ? std::to_string(*aRefusal.priority) : "")
       .With("come_back_ms", aRefusal.retryDelay.value_or(Millis(0)).count())
       .With("catalog", aState.catalog ? aState.catalog->version : 0));
   HttpResponse response = MakeLocalResponse(
--- a/src/serve/LocalResponses.cpp
+++ b/src/serve/LocalResponses.cpp
@@ -1,6 +1,7 @@
 #include "LocalResponses.h"
 
 #include "ServingState.h"
+#include "coord/RetryWindow.h"
 
 #include <algorithm>
 #include <array>
@@ -11,10 +12,16 @@
 
 namespace {
 
-/** Shortest delay of a rejected caller and the random addition to it. A slot
- * frees up within some hundred ms, the time of a short response. */
-constexpr Millis kMinRetryDelay{ 150 };
-constexpr Millis kRetryDelayJitter{ 600 };
+constexpr Millis kMinRetryDelay = RetryWindow::kMinDelay;
+constexpr Millis kRetryDelayJitter = RetryWindow::kMinWidth;
+
+Millis
+RandomBelow(ServingState& aState, Millis aLimit)
+{
+  const auto limit =
+    static_cast<std::uint64_t>(std::max(Millis(1), aLimit).count());
+  return Millis(static_cast<std::int64_t>(aState.random.NextBelow(limit)));
+}
 
 } // namespace
 
@@ -45,20 +52,26 @@
 Millis
 RetryDelayFor(ServingState& aState,
               Millis aTimeLeft,
-              std::optional<Millis> aKnownWait)
+              std::optional<Millis> aKnownWait,
+              std::optional<QueueOutlook> aQueue)
 {
+  if (aQueue && !aKnownWait) {
+    const RetryWindow window =
+      RetryWindow::Of(aQueue->rank, aQueue->expectedWait, aTimeLeft);
+    return window.earliest +
+           RandomBelow(aState, window.latest - window.earliest);
+  }
   // The returns after a known wait are spread over a fraction of it.
   constexpr int kSpreadDivisor = 4;
   const Millis spread = std::max(
     kRetryDelayJitter, aKnownWait.value_or(Millis(0)) / kSpreadDivisor);
-  const auto jitter = Millis(static_cast<std::int64_t>(
-    aState.random.NextBelow(static_cast<std::uint64_t>(spread.count()))));
+  const Millis jitter = RandomBelow(aState, spread);
   if (aKnownWait) {
     return std::max(*aKnownWait, kMinRetryDelay) + jitter;
   }
   // A little less than the third of their time that callers wait.
-  constexpr int kWaitDivisor = 4;
-  const Millis maxDelay = std::max(Millis(1), aTimeLeft / kWaitDivisor);
+  const Millis maxDelay =
+    std::max(Millis(1), aTimeLeft / RetryWindow::kTimeLeftDivisor);
   return std::min(kMinRetryDelay + jitter, maxDelay);
 }
 
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -318,6 +318,7 @@
   DropExpiredBackends(this->state, aNow);
   EndMissingDrains(this->state, aNow);
   this->state.backends.SetRemoteLoads(this->state.peers.Loads(aNow));
+  this->state.queues.Notify();
   this->state.UpdateQuotas(aNow);
 }
 
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -148,6 +148,9 @@
     if (noPeerLeft) {
       break; // a back end would not be reached, only waited for
     }
+    if (chosenPeer) {
+      this->LeaveQueue();
+    }
     const Step step = chosenPeer ? co_await this->TryPeer(*chosenPeer)
                                  : co_await this->TryBackend();
     if (step == Step::eAgain) {
@@ -173,7 +176,18 @@
 Task<RequestForwarder::Step>
 RequestForwarder::TryBackend()
 {
-  const auto placement = this->ChooseBackend();
+  const bool waits = this->queuePlace && this->queuePlace->CurrentState() !=
+                                           QueuePlace::State::eSelected;
+  if (waits) {
+    co_return co_await this->WaitInQueue();
+  }
+  auto placement = std::exchange(this->selectedPlacement, std::nullopt);
+  const bool selected = placement.has_value();
+  if (!selected) {
+    this->LeaveQueue(); // it was selected before, and not sent
+    placement = this->UsesQueue() ? this->ChooseWithRoom(StartTurn::eInOrder)
+                                  : this->ChooseBackend();
+  }
   const bool mayWait = !placement &&
                        this->waitReason == GateRefusal::eWarmingUp &&
                        *this->wait <= this->PermitTimeLeft();
@@ -194,12 +208,23 @@
     }
     co_return Step::eGiveUp;
   }
-  const bool rejected = placement->atCapacity && this->sends == 0;
+  if (this->UsesQueue()) {
+    const bool mayStart =
+      selected || (this->admission == AdmissionDecision::eStart &&
+                   !this->state.queues.HasWaiting(this->request.service));
+    if (!mayStart) {
+      co_return co_await this->EnterQueue(*placement);
+    }
+  }
+  const bool rejected =
+    placement->atCapacity && this->sends == 0 && !this->UsesQueue();
   if (rejected) {
     this->lastFailure = "all back ends are full";
     co_return Step::eGiveUp;
   }
-  const DeferralDecision decision = this->DecideDeferral(*placement);
+  const DeferralDecision decision = this->UsesQueue()
+                                      ? DeferralDecision::eSend
+                                      : this->DecideDeferral(*placement);
   if (decision == DeferralDecision::eDefer) {
     co_await Sleep(DeferralPolicy::kPollInterval);
     this->deferredFor += DeferralPolicy::kPollInterval;
@@ -364,8 +389,7 @@
   SendContext context;
   context.backend = aPlacement.backend;
   context.timeLeft = this->TimeLeft();
-  context.team =
-    this->request.team != nullptr ? this->request.team->id : TeamId{};
+  context.team = this->request.TeamName();
   context.priority = std::clamp(this->request.Priority() + 1, 0, 9);
   context.resumeAfter = this->splitter.LastId();
   HttpRequest message =
@@ -378,6 +402,7 @@
                          static_cast<std::int64_t>(aPlacement.uncachedTokens),
                          this->sentAt);
   this->loadGuard = &guard;
+  this->LeaveQueue(); // the next request sees the load of this one
   const std::string sharedSection =
     SharedSectionId(this->request.incoming.prompt);
   this->state.prefixCacheIndex.RecordUse(
@@ -431,6 +456,7 @@
     this->RecordEvidence(aPlacement.backend, outcome);
   }
   this->LogSend(aPlacement, outcome, this->lastFailure);
+  this->state.queues.Notify();
   co_return outcome;
 }
 
@@ -464,7 +490,8 @@
   const Millis retryAfter =
     RetryDelayFor(this->state,
                   this->TimeLeft(),
-                  this->allRefused ? this->wait : std::nullopt);
+                  this->allRefused ? this->wait : std::nullopt,
+                  this->Outlook());
   HttpResponse response = MakeLocalResponse(this->state,
                                             this->request.incoming.attempt,
                                             kServiceUnavailable,
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -4,7 +4,9 @@
  */
 #pragma once
 
+#include "QueuePlace.h"
 #include "ServingRequest.h"
+#include "coord/AdmissionPolicy.h"
 #include "coord/BackendTable.h"
 #include "coord/DeferralPolicy.h"
 #include "coord/EngineReach.h"
@@ -13,6 +15,7 @@
 #include "coord/RelayChoice.h"
 #include "coord/RetryInFlight.h"
 #include "coord/SendGate.h"
+#include "coord/ServicePriorities.h"
 #include "edge/HttpExchange.h"
 #include "edge/HttpResponder.h"
 
@@ -24,6 +27,7 @@
 struct BackendResponseHead;
 struct CrashCheck;
 struct NamedLimit;
+struct QueueOutlook;
 struct ServingState;
 
 /** How one send to a back end ended. */
@@ -82,11 +86,39 @@
   [[nodiscard]] bool MayRelayThrough(const ZoneId& aZone) const;
   Task<SendOutcome> SendToPeer(RelayCandidate aPeer);
   Task<SendOutcome> RelayFromPeer(HttpExchange& aExchange, DaemonId aPeer);
-  /** Chooses the back end to send to next; nothing when there is none. */
-  std::optional<Placement> ChooseBackend();
+  /** Chooses the back end to send to next; nothing when there is none.
+   * \param aIsEligible restricts the choice; empty: not */
+  std::optional<Placement> ChooseBackend(
+    const std::function<bool(const Backend&)>& aIsEligible = {});
+  /** Whether this send waits in the service's queue when engines have no room.
+   */
+  [[nodiscard]] bool UsesQueue() const;
+  /** Properties of the engines of the request's service; null: none. */
+  [[nodiscard]] const EngineTraits* Traits() const;
+  [[nodiscard]] const ServicePriorities& Priorities();
+  /** Chooses a back end with room for the request, if there is one; sets
+   * admission to whether the chosen one has room. Nothing when there is no back
+   * end at all. */
+  std::optional<Placement> ChooseWithRoom(StartTurn aTurn);
+  [[nodiscard]] AdmissionDecision DecideAdmission(const Placement& aPlacement,
+                                                  StartTurn aTurn);
+  [[nodiscard]] EngineLoad LoadOf(const Backend& aBackend);
+  [[nodiscard]] double PrefillMs(const Placement& aPlacement);
+  /** Whether a waiting request may start; selects its placement. */
+  bool CanStart(StartTurn aTurn);
+  /** Waits in the queue for the engine that it would have been sent to. */
+  Task<Step> EnterQueue(Placement aPlacement);
+  Task<Step> WaitInQueue();
+  /** For the caller's retry; nothing when the service has no queue. */
+  [[nodiscard]] std::optional<QueueOutlook> Outlook();
+  Step RejectQueued(const char* aCause);
+  void LeaveQueue();
+  /** Logs that the request waits or is rejected, with what decided it. */
+  void LogQueueDecision(const char* aEvent, const char* aCause);
   /** Whether the allowed regions of the route and the team let this request go
    * to the failure domain. */
   [[nodiscard]] bool IsRegionAllowed(const ZoneId& aZone) const;
+  [[nodiscard]] DeferralInput MakeDeferralInput(const Placement& aPlacement);
   [[nodiscard]] DeferralDecision DecideDeferral(const Placement& aPlacement);
   /** How much longer this request looks for a back end with room, from the
    * first time that it met none. */
@@ -172,6 +204,14 @@
   bool beyondOwnParts = false;
   DaemonId peer; // through which the current send goes; empty: none
   std::optional<Placement> lastPlacement;
+  std::optional<ServicePriorities> priorities; // see Priorities
+  std::optional<QueuePlace> queuePlace;        // until its send has begun
+  std::optional<Placement> selectedPlacement;  // by CanStart
+  AdmissionDecision admission = AdmissionDecision::eStart; // latest decision
+  EngineLoad admissionLoad;  // of the engine that it was about
+  bool backendsGone = false; // found while it was in the queue
+  bool queueLogged = false;
+  TimePoint queuedAt; // when it joined the queue
   IsAllowedByOrders isAllowed;
   BackendLoadGuard* loadGuard = nullptr;      // of the current send
   SendTicket ticket;                          // of the current send
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -163,6 +163,7 @@
       elapsedMs);
     this->state.backends.RecordResponseStart(
       aPlacement.backend, elapsedMs, aPlacement.expectedMs);
+    this->state.queues.Notify();
   }
   this->state.metrics.RecordFirstToken(
     static_cast<double>((now - this->request.arrived).count()));
--- a/src/serve/ServingRequest.h
+++ b/src/serve/ServingRequest.h
@@ -55,6 +55,11 @@
   {
     return { this->suspects.begin(), this->suspects.end() - 1 };
   }
+  /** Its team; empty on open routes. */
+  [[nodiscard]] TeamId TeamName() const
+  {
+    return this->team != nullptr ? this->team->id : TeamId{};
+  }
   /** Priority, 0 being the most urgent. A team's priority overrides its
    * route's. */
   [[nodiscard]] int Priority() const
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 #include "coord/StoreReaders.h"
 
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
 #include <ctime>
@@ -55,6 +56,12 @@
              warmupLimits,
              domainDrains,
              crashSuspects)
+  , queues(
+      [this](std::function<void()> aFunction) {
+        boost::asio::post(this->pool.First().context, std::move(aFunction));
+      },
+      &Now,
+      metrics)
   , storeOutage(settings.entryInterval)
   , random(Hash64(settings.id.value, aIncarnation))
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "RequestQueues.h"
 #include "ServingSettings.h"
 #include "WireFormats.h"
 #include "base/EventLog.h"
@@ -151,6 +152,7 @@
   SendGate sendGate;
   EngineReach engineReach;
   RelayChoice relayChoice;
+  RequestQueues queues; // of services with engine properties
   /** Reports recorded usage reports to the other daemons at once. */
   std::function<void()> sendUsageReports = [] {};
   /** Reports the store's era to the other daemons at once. */
