--- a/src/coord/Placement.h
+++ b/src/coord/Placement.h
@@ -127,6 +127,8 @@
   /** Usual output tokens of a priority's requests; 0: unknown. */
   [[nodiscard]] std::uint64_t UsualOutput(int aPriority) const;
 
+  /** Whether long and short prompts have engines of their own. */
+  [[nodiscard]] bool ArePoolsActive() const { return this->pools.Active(); }
   /** Divides the engines into pools; see PromptPools::Update. */
   bool UpdatePools(const std::vector<Backend*>& aEngines,
                    std::optional<double> aLongShare,
--- a/src/coord/SlotReservation.cpp
+++ b/src/coord/SlotReservation.cpp
@@ -24,7 +24,7 @@
 constexpr double kDefaultTargetMs = 2000;
 
 double
-TargetMs(const PriorityDemand& aDemand)
+TargetMs(const PriorityStarts& aDemand)
 {
   const auto target = static_cast<double>(aDemand.target.count());
   return target > 0 ? target : kDefaultTargetMs;
@@ -54,7 +54,7 @@
 
 Reservation
 DeriveReservation(int aPriority,
-                  const std::vector<PriorityDemand>& aDemand,
+                  const std::vector<PriorityStarts>& aDemand,
                   std::size_t aEngines,
                   double aSlots,
                   double aSlotMs)
@@ -63,7 +63,7 @@
   reservation.maxWaitMs = kWaitPartOfTarget * kDefaultTargetMs;
   double urgentPerS = 0;
   double urgentTargetMs = std::numeric_limits<double>::infinity();
-  for (const PriorityDemand& demand : aDemand) {
+  for (const PriorityStarts& demand : aDemand) {
     const double waitMs = kWaitPartOfTarget * TargetMs(demand);
     if (demand.priority == aPriority) {
       reservation.maxWaitMs = waitMs;
--- a/src/coord/SlotReservation.h
+++ b/src/coord/SlotReservation.h
@@ -12,7 +12,7 @@
 namespace toucanshed {
 
 /** The requests of one priority of a service, at all daemons together. */
-struct PriorityDemand
+struct PriorityStarts
 {
   int priority = 0;      // 0 is the most urgent
   Millis target{ 0 };    // smallest latency target of its routes; 0: none
@@ -44,7 +44,7 @@
  * \param aSlotMs mean time that a request occupies a slot */
 Reservation
 DeriveReservation(int aPriority,
-                  const std::vector<PriorityDemand>& aDemand,
+                  const std::vector<PriorityStarts>& aDemand,
                   std::size_t aEngines,
                   double aSlots,
                   double aSlotMs);
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -29,17 +29,14 @@
 }
 
 std::optional<Placement>
-RequestForwarder::ChooseBackend()
+RequestForwarder::ChooseBackend(
+  const std::function<bool(const Backend&)>& aIsEligible)
 {
   PlacementRequest placementRequest;
   placementRequest.prompt = this->request.incoming.prompt;
   placementRequest.triedBackends = this->triedBackends;
   placementRequest.cachedBackends = this->state.prefixCacheIndex.CachedBackends(
     SharedSectionId(placementRequest.prompt), ServingState::Now());
-  const ServiceSpec* spec =
-    this->request.catalog->FindService(this->request.service);
-  const EngineTraits* traits =
-    spec != nullptr && spec->engine ? &*spec->engine : nullptr;
   this->state.CheckForPause();
   const TimePoint now = ServingState::Now();
   this->AddCapacityInputs(placementRequest, traits, now);
@@ -48,13 +45,18 @@
   this->wait = choice.wait;
   this->waitReason = choice.waitReason;
   this->allRefused = choice.backends.empty();
+  if (aIsEligible) {
+    std::erase_if(choice.backends, [&](const Backend* aBackend) {
+      return !aIsEligible(*aBackend);
+    });
+  }
   placementRequest.rateLimited = std::move(choice.limited);
   placementRequest.leastBusy =
     this->state.crashSuspects
       .TrialNeeded(this->request.suspects, this->state.ClusterNow())
       .has_value();
   return this->ServicePlacer().Choose(
-    choice.backends, placementRequest, traits, now);
+    choice.backends, placementRequest, this->Traits(), now);
 }
 
 void
@@ -107,6 +109,17 @@
          (team == nullptr || allows(team->allowedRegions));
 }
 
+DeferralInput
+RequestForwarder::MakeDeferralInput(const Placement& aPlacement)
+{
+  return DeferralInput{ ServingState::Now() - this->request.arrived,
+                        this->request.route->latencyTarget,
+                        this->TimeLeft(),
+                        aPlacement.expectedMs,
+                        aPlacement.prefillMs,
+                        aPlacement.queuedTokens == 0 };
+}
+
 DeferralDecision
 RequestForwarder::DecideDeferral(const Placement& aPlacement)
 {
@@ -114,13 +127,7 @@
   if (!hasPrompt || this->sends > 0) {
     return DeferralDecision::eSend; // deferred only before its first send
   }
-  return DeferralPolicy::Decide(
-    DeferralInput{ ServingState::Now() - this->request.arrived,
-                   this->request.route->latencyTarget,
-                   this->TimeLeft(),
-                   aPlacement.expectedMs,
-                   aPlacement.prefillMs,
-                   aPlacement.queuedTokens == 0 });
+  return DeferralPolicy::Decide(this->MakeDeferralInput(aPlacement));
 }
 
 Millis
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -160,6 +160,7 @@
   if (this->peer.Empty()) {
     this->loadGuard->RecordFirstToken();
     this->RecordSpeed(aPlacement, now);
+    this->state.queues.Notify();
   }
   this->state.metrics.RecordFirstToken(
     static_cast<double>((now - this->request.arrived).count()));
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -5,6 +5,7 @@
 #include "coord/PromptPools.h"
 #include "coord/StoreReaders.h"
 
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
 #include <ctime>
@@ -56,6 +57,12 @@
              warmupLimits,
              domainDrains,
              crashSuspects)
+  , queues(
+      [this](std::function<void()> aFunction) {
+        boost::asio::post(this->pool.First().context, std::move(aFunction));
+      },
+      &Now,
+      metrics)
   , storeOutage(settings.entryInterval)
   , random(Hash64(settings.id.value, aIncarnation))
 {
--- a/test/CapacityDecisions.cpp
+++ b/test/CapacityDecisions.cpp
@@ -46,9 +46,9 @@
 {
   Daemon& daemon = this->daemons[aDaemon];
   const Millis timeout = HeartbeatTimeout(this->daemons.size());
-  std::vector<PriorityDemand> demand;
+  std::vector<PriorityStarts> demand;
   for (std::size_t p = 0; p < kPriorities; ++p) {
-    demand.push_back(PriorityDemand{ static_cast<int>(p),
+    demand.push_back(PriorityStarts{ static_cast<int>(p),
                                      ToMillis(kKinds.at(p).targetMs),
                                      daemon.startsPerS.at(p) });
   }
--- a/test/correctness/SlotReservationTest.cpp
+++ b/test/correctness/SlotReservationTest.cpp
@@ -8,12 +8,12 @@
 constexpr double kSlots = 12;
 constexpr double kSlotMs = 3000;
 
-std::vector<PriorityDemand>
+std::vector<PriorityStarts>
 MakeDemand(double aUrgentPerS)
 {
-  return { PriorityDemand{ 0, Millis(400), aUrgentPerS },
-           PriorityDemand{ 1, Millis(1000), aUrgentPerS },
-           PriorityDemand{ 2, Millis(2000), 1 } };
+  return { PriorityStarts{ 0, Millis(400), aUrgentPerS },
+           PriorityStarts{ 1, Millis(1000), aUrgentPerS },
+           PriorityStarts{ 2, Millis(2000), 1 } };
 }
 
 Reservation
@@ -58,7 +58,7 @@
 TEST_CASE("a service with one priority reserves nothing")
 {
   const Reservation only =
-    DeriveReservation(5, { PriorityDemand{ 5, Millis(0), 9 } }, 0, 0, 0);
+    DeriveReservation(5, { PriorityStarts{ 5, Millis(0), 9 } }, 0, 0, 0);
   CHECK(only.mostUrgent);
   CHECK(only.reservedSlots == 0);
 }
--- a/test/performance/CapacityBenchmark.cpp
+++ b/test/performance/CapacityBenchmark.cpp
@@ -77,10 +77,10 @@
   LimitShares peers(DaemonId{ "daemon-0" }, TimePoint{ 0 });
   CapacityShares shares(peers);
   std::vector<PriorityNeed> needs;
-  std::vector<PriorityDemand> demand;
+  std::vector<PriorityStarts> demand;
   for (int priority = 0; priority < 3; ++priority) {
     needs.push_back(PriorityNeed{ priority, 2, 1, 1, 1000 });
-    demand.push_back(PriorityDemand{ priority, Millis(400), 500 });
+    demand.push_back(PriorityStarts{ priority, Millis(400), 500 });
   }
   for (std::size_t i = 1; i < kDaemons; ++i) {
     const DaemonId id{ "daemon-" + std::to_string(i) };
