--- a/src/coord/OfferedLoad.cpp
+++ b/src/coord/OfferedLoad.cpp
@@ -105,7 +105,7 @@
   service.lastAdmission = aNow;
   ++service.admissions;
   service.firstAdmission = service.firstAdmission.value_or(aNow);
-  const std::size_t priority = ClampPriority(aRequest.priority);
+  const std::size_t priority = PriorityIndex(aRequest.priority);
   Requests& requests = aRequest.isLong ? service.longPrompts[priority]
                                        : service.shortPrompts[priority];
   requests.requests.Add(1, aNow);
@@ -139,7 +139,7 @@
   if (found == this->services.end() || aSlotTime < Millis(0)) {
     return;
   }
-  const std::size_t priority = ClampPriority(aPriority);
+  const std::size_t priority = PriorityIndex(aPriority);
   Requests& requests = aIsLong ? found->second.longPrompts[priority]
                                : found->second.shortPrompts[priority];
   requests.slotTime.Add(
--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -22,7 +22,7 @@
 {
   DemandByPriority demand{};
   for (const serving::PriorityLoad& load : aLoad.priorities()) {
-    demand.at(ClampPriority(load.priority())) +=
+    demand.at(PriorityIndex(load.priority())) +=
       PriorityDemand{ ValidRate(load.requests_per_s()),
                       ValidRate(load.prompt_tokens_per_s()),
                       ValidRate(load.long_prompt_tokens_per_s()),
--- a/src/coord/RequiredEngines.cpp
+++ b/src/coord/RequiredEngines.cpp
@@ -23,7 +23,7 @@
 }
 
 double
-PlannedPrefillUtilization(const EngineLoad& aLoad)
+PlannedPrefillUtilization(const CapacityDemand& aLoad)
 {
   const bool isKnown = aLoad.smallestTarget && aLoad.meanPromptTokens > 0;
   if (!isKnown) {
@@ -36,7 +36,7 @@
 }
 
 RequiredEngines
-RequiredFor(const EngineLoad& aLoad, const EngineTraits& aTraits)
+RequiredFor(const CapacityDemand& aLoad, const EngineTraits& aTraits)
 {
   constexpr double kMillis = 1000;
   const double prefillEngines =
--- a/src/coord/RequiredEngines.h
+++ b/src/coord/RequiredEngines.h
@@ -15,7 +15,7 @@
 struct EngineTraits;
 
 /** The offered load on a service's engines, summed over all daemons. */
-struct EngineLoad
+struct CapacityDemand
 {
   double promptTokensPerS = 0; // prompt tokens that need prefill
   /** Slots that the load keeps busy on engines that are not overloaded. */
@@ -65,11 +65,11 @@
  * the prompt that it meets, and rarely for more than four; that may take at
  * most a fraction of the smallest latency target. */
 double
-PlannedPrefillUtilization(const EngineLoad& aLoad);
+PlannedPrefillUtilization(const CapacityDemand& aLoad);
 
 /** Engines that serve the load at the planned utilization. */
 RequiredEngines
-RequiredFor(const EngineLoad& aLoad, const EngineTraits& aTraits);
+RequiredFor(const CapacityDemand& aLoad, const EngineTraits& aTraits);
 
 /** Number of engines to add because rate-limited engines take less than their
  * fair share of the requests.
--- a/src/coord/ServiceDemand.h
+++ b/src/coord/ServiceDemand.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "Priority.h"
 #include "base/Types.h"
 
 #include <algorithm>
@@ -12,17 +13,6 @@
 
 namespace toucanshed {
 
-/** Priorities 0 (the most urgent) to 9. */
-constexpr std::size_t kPriorities = 10;
-
-/** The nearest valid priority. */
-constexpr std::size_t
-ClampPriority(int aPriority)
-{
-  constexpr int kLast = static_cast<int>(kPriorities) - 1;
-  return static_cast<std::size_t>(std::clamp(aPriority, 0, kLast));
-}
-
 /** The offered load of one priority. Requests count once, when they are
  * admitted. */
 struct PriorityDemand
@@ -44,7 +34,7 @@
   }
 };
 
-using DemandByPriority = std::array<PriorityDemand, kPriorities>;
+using DemandByPriority = std::array<PriorityDemand, kPriorityCount>;
 
 /** Sum over several daemons. */
 struct ServiceDemand
@@ -56,7 +46,7 @@
   void Add(const ZoneId& aZone, const DemandByPriority& aDemand)
   {
     DemandByPriority& sum = this->byZone[aZone];
-    for (std::size_t i = 0; i < kPriorities; ++i) {
+    for (std::size_t i = 0; i < kPriorityCount; ++i) {
       sum.at(i) += aDemand.at(i);
     }
   }
@@ -65,7 +55,7 @@
   {
     DemandByPriority sum{};
     for (const auto& [zone, demand] : this->byZone) {
-      for (std::size_t i = 0; i < kPriorities; ++i) {
+      for (std::size_t i = 0; i < kPriorityCount; ++i) {
         sum.at(i) += demand.at(i);
       }
     }
--- a/src/coord/StartRate.h
+++ b/src/coord/StartRate.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "Priority.h"
 #include "base/Types.h"
 
 #include <array>
@@ -11,20 +12,6 @@
 
 namespace toucanshed {
 
-/** Lowest and highest priority number; 0 is the most urgent. */
-constexpr int kMinPriority = 0;
-constexpr int kMaxPriority = 9;
-constexpr std::size_t kPriorityCount = kMaxPriority + 1;
-
-/** Limits a priority to the valid range. */
-constexpr int
-ClampPriority(int aPriority)
-{
-  return aPriority < kMinPriority
-           ? kMinPriority
-           : (aPriority > kMaxPriority ? kMaxPriority : aPriority);
-}
-
 /**
  * The rate of starts while requests wait, as a decaying average. Time in which
  * nothing waits doesn't count: few starts in it are no sign of missing
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -39,7 +39,7 @@
     SharedSectionId(placementRequest.prompt), ServingState::Now());
   this->state.CheckForPause();
   const TimePoint now = ServingState::Now();
-  this->AddCapacityInputs(placementRequest, traits, now);
+  this->AddCapacityInputs(placementRequest, this->Traits(), now);
   SendChoice choice =
     this->state.sendGate.Choose(this->request.service, this->isAllowed, now);
   this->wait = choice.wait;
--- a/src/serve/CapacityRecords.cpp
+++ b/src/serve/CapacityRecords.cpp
@@ -28,8 +28,8 @@
 bool
 RequestForwarder::HasLongPrompt()
 {
-  return this->state.HasLongPrompt(
-    this->request.service, TotalTokens(this->request.incoming.prompt));
+  return this->state.HasLongPrompt(this->request.service,
+                                   TotalTokens(this->request.incoming.prompt));
 }
 
 std::uint64_t
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -46,7 +46,7 @@
   }
   const ServiceDemand demand = OfferedLoadOfAll(aState, aService.id, aNow);
   const PriorityDemand total = demand.Total();
-  EngineLoad load;
+  CapacityDemand load;
   load.promptTokensPerS = total.promptTokensPerS;
   load.busySlots = total.slots;
   load.meanPromptTokens = MeanPromptTokens(demand);
--- a/src/serve/QueuedAdmission.cpp
+++ b/src/serve/QueuedAdmission.cpp
@@ -139,8 +139,8 @@
   waiting.arrived = this->request.arrived;
   waiting.deadline = this->request.deadline;
   waiting.target = this->request.route->latencyTarget;
-  waiting.expected = Millis(
-    static_cast<std::int64_t>(std::min(aPlacement.prefillMs, limit)));
+  waiting.expected =
+    Millis(static_cast<std::int64_t>(std::min(aPlacement.prefillMs, limit)));
   waiting.inArrivalOrder = this->Priorities().AreEqual();
   this->queuedAt = ServingState::Now();
   this->backendsGone = false;
--- a/test/DemandSimulation.cpp
+++ b/test/DemandSimulation.cpp
@@ -138,7 +138,7 @@
     auto* entry = message.heartbeat.add_services();
     entry->set_service(kService.value);
     const DemandByPriority demand = daemon.load.At(kService, this->now);
-    for (std::size_t priority = 0; priority < kPriorities; ++priority) {
+    for (std::size_t priority = 0; priority < kPriorityCount; ++priority) {
       auto* part = entry->add_priorities();
       part->set_priority(static_cast<std::int32_t>(priority));
       part->set_requests_per_s(demand.at(priority).requestsPerS);
@@ -219,7 +219,7 @@
   const Daemon& daemon = this->daemons[aDaemon];
   ServiceDemand demand = daemon.peers->OfferedLoad(kService, this->now);
   demand.Add(ZoneId{ "a" }, daemon.load.At(kService, this->now));
-  EngineLoad load;
+  CapacityDemand load;
   load.promptTokensPerS = demand.Total().promptTokensPerS;
   load.busySlots = demand.Total().slots;
   load.prefillTokensPerMs = kPrefillTokensPerMs;
--- a/test/correctness/OfferedLoadTest.cpp
+++ b/test/correctness/OfferedLoadTest.cpp
@@ -170,7 +170,7 @@
 // Guards against prompts that wait for longer than their target bears.
 TEST_CASE("only routes with time to wait raise the prefill utilization")
 {
-  EngineLoad load;
+  CapacityDemand load;
   load.prefillTokensPerMs = 80;
   load.meanPromptTokens = 8000;
   CHECK(PlannedPrefillUtilization(load) == kTargetPrefillUtilization);
