An order that a rollout has overtaken is not sent

The call to the platform may wait for its connection for up to 0.8 s, in which the rollout can become known. The order is therefore checked again just before it is written, as the claim is; the check before the call alone leaves that time open.

--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -98,8 +98,12 @@
   Task<bool> RecheckClaim();
   /** Makes one call to the cloud, which is sent only while this daemon holds
    * the duties under that fence and IsClaimConfirmed. \return its status, 0
-   * without a response. */
-  Task<unsigned> CallCloud(HttpRequest aRequest, FencingToken aFence);
+   * without a response.
+   * \param aIsValid also checked just before the send */
+  Task<unsigned> CallCloud(
+    HttpRequest aRequest,
+    FencingToken aFence,
+    std::function<bool()> aIsValid = [] { return true; });
   void StepDown(const std::string& aReason);
   [[nodiscard]] bool HoldsDuties() const;
   /** Whether the latest claim is this daemon's own, such as one of an earlier
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -34,7 +34,9 @@
 } // namespace
 
 Task<unsigned>
-DutyRunner::CallCloud(HttpRequest aRequest, FencingToken aFence)
+DutyRunner::CallCloud(HttpRequest aRequest,
+                      FencingToken aFence,
+                      std::function<bool()> aIsValid)
 {
   const CallTimeouts timeouts{ kCloudConnectTimeout,
                                kCloudCallTimeout,
@@ -43,9 +45,9 @@
   // A holder that is suspended between its record and its call wakes up with a
   // call that another holder has superseded. Sending it would undo that
   // holder's order, so the claim is checked again just before the send.
-  PreSendCheck maySend = [this, aFence] {
+  PreSendCheck maySend = [this, aFence, aIsValid] {
     return this->HoldsDuties() && this->state.dutyFence == aFence &&
-           this->IsClaimConfirmed();
+           this->IsClaimConfirmed() && aIsValid();
   };
   auto response = co_await Fetch(this->state.pool.First(),
                                  *this->state.settings.cloud,
@@ -322,9 +324,14 @@
 DutyRunner::SendOrder(GroupTarget aOrder, FencingToken aFence, double aRequired)
 {
   const EngineGroup& group = aOrder.group;
-  const bool maySend = this->planner.MaySend(
-    aOrder, this->state.rollouts.Find(group.service), ServingState::Now());
-  if (!maySend) {
+  // A rollout may become known while the call waits for its connection.
+  std::function<bool()> isValid = [this, aOrder] {
+    return this->planner.MaySend(
+      aOrder,
+      this->state.rollouts.Find(aOrder.group.service),
+      ServingState::Now());
+  };
+  if (!isValid()) {
     --this->pendingOrders;
     co_return; // planned again with the new engines
   }
@@ -333,7 +340,8 @@
   };
   const unsigned status = co_await this->CallCloud(
     this->state.wire.cloud.scale(this->state.settings.id, aFence, order),
-    aFence);
+    aFence,
+    isValid);
   --this->pendingOrders;
   this->state.log.Emit(
     Event("engines.ordered")
