--- a/test/failure/PermitTest.cpp
+++ b/test/failure/PermitTest.cpp
@@ -1,5 +1,6 @@
 #include "test/PlatformHarness.h"
 
+#include "base/Hash.h"
 #include "serve/PermitClient.h"
 
 #include <catch2/catch.hpp>
@@ -112,4 +113,41 @@
   CHECK(replies.front().starting());
 }
 
+// Guards against refusals while all daemons start, and against a second count
+// of what a starting owner grants.
+TEST_CASE("a starting owner grants its bound to daemons that it knows")
+{
+  constexpr unsigned kBound = 6;
+  constexpr unsigned kReserve = kBound / WarmupLimits::kReserveDivisor;
+  PlatformHarness harness(22780);
+  harness.AddEngine("e1", "plain");
+  ServingState& state = *harness.state;
+  state.warmupLimits.Configure({ { kService, WarmupBound{ kBound } } });
+  RecordWarm(state);
+  // A peer after this daemon in the engine's order, so that this one owns it.
+  const TimePoint now = ServingState::Now();
+  const Backend& engine = *state.backends.Find(kEngine);
+  const auto precedes = [&](const DaemonId& aPeer) {
+    LimitShares shares(state.settings.id, now);
+    shares.AddPeer(aPeer, now);
+    return shares.FirstHolder(Hash64(kEngine.value), now) == aPeer;
+  };
+  DaemonId peer{ "peer" };
+  while (precedes(peer)) {
+    peer.value += "-";
+  }
+  state.limitShares.AddPeer(peer, now);
+  REQUIRE_FALSE(state.limitShares.CanUseShares(now));
+  for (unsigned i = 0; i < kBound - kReserve; ++i) {
+    CHECK(state.warmupLimits.Grant(engine, i % 2 == 0, now).granted);
+  }
+  const PermitDecision beyond = state.warmupLimits.Grant(engine, true, now);
+  CHECK_FALSE(beyond.granted);
+  CHECK_FALSE(beyond.ownerStarting);
+  // Of a back end that may be cold, nobody knows what was granted before.
+  state.warmupLimits.Suspect(kEngine, now + Millis(1));
+  const TimePoint later = now + Millis(1300);
+  CHECK_FALSE(state.warmupLimits.Grant(engine, true, later).granted);
+}
+
 } // namespace toucanshed::test
