--- a/src/coord/LongPromptMeter.h
+++ b/src/coord/LongPromptMeter.h
@@ -32,8 +32,9 @@
   [[nodiscard]] std::optional<double> Share() const
   {
     constexpr double kMinRequests = 50;
-    return this->all > 0 && this->requests >= kMinRequests ? std::optional(this->ofLong / this->all)
-                         : std::nullopt;
+    return this->all > 0 && this->requests >= kMinRequests
+             ? std::optional(this->ofLong / this->all)
+             : std::nullopt;
   }
 
 private:
