A plain back end that is not used is tried again

Plain back ends that answer within a millisecond were compared with a usual time that began at 100 ms and did not learn from responses of 0 ms. One that had been drained or had rested got nothing while another one answered. Found by test_failure "a drained failure domain gets no requests until it ends" and "an engine gets no request within the rest it asks for", which pass again.

Times under 25 ms count as 25 ms, as before the new estimate, and the usual time follows within some responses, bounded against single slow ones.

--- a/src/coord/EngineCapacity.cpp
+++ b/src/coord/EngineCapacity.cpp
@@ -90,7 +90,11 @@
 {
   const double slots = BelievedSlots(aBackend, aNow);
   const double running = RunningOn(aBackend, aAge);
-  double responseMs = aBackend.speed.ResponseMs(aUsualMs, aNow);
+  // Below this, differences come from the network and this daemon. If they
+  // counted, a back end that is not used would stay unused.
+  constexpr double kMinMs = 25;
+  double responseMs =
+    std::max(kMinMs, aBackend.speed.ResponseMs(aUsualMs, aNow));
   if (aBackend.localLoad.running > 0) {
     // It has been silent for so long although requests wait there.
     const auto silence =
--- a/src/coord/Placement.cpp
+++ b/src/coord/Placement.cpp
@@ -362,15 +362,20 @@
 Placer::RecordResponseStart(const Placement& aPlacement, double aMs)
 {
   constexpr double kMinTokens = 2000; // other delays dominate below
-  if (!(aMs > 0)) {
+  if (!(aMs >= 0)) {
     return;
   }
-  this->usualResponseMs = StepTowards(this->usualResponseMs, aMs);
+  // Soon right after the start, and not moved far by one slow response.
+  constexpr double kLatestWeight = 0.2;
+  constexpr double kMaxTimesUsual = 4;
+  const double usual = this->usualResponseMs;
+  this->usualResponseMs +=
+    kLatestWeight * (std::min(aMs, kMaxTimesUsual * usual) - usual);
   const double tokens =
     aPlacement.aheadTokens + static_cast<double>(aPlacement.uncachedTokens);
   if (tokens >= kMinTokens) {
     this->speed.promptTokensPerMs =
-      StepTowards(this->speed.promptTokensPerMs, tokens / aMs);
+      StepTowards(this->speed.promptTokensPerMs, tokens / std::max(aMs, 1.0));
     this->learnedStarts = std::min(this->learnedStarts + 1, kLearnedResponses);
   }
 }
