Pools follow the load of all daemons; on-demand engines replace what can be had

The share of long prompts that sizes the pools was measured at each daemon, so daemons disagreed about the pools. It now comes from the sums of the offered load, once there are 20 requests a second.

What on-demand engines make up for is now capped by the platform's bound.

The test of a daemon cut off from all engines sends more requests at the moment of the cut, so that one hangs at each engine: placement prefers its own failure domain among idle back ends, and an armed hang that was left over took a later request. What it checks is unchanged.

--- a/src/coord/ScaleOrders.cpp
+++ b/src/coord/ScaleOrders.cpp
@@ -10,14 +10,6 @@
 
 namespace {
 
-/** On-demand engines beside the reclaimable ones, for each required engine.
- * They still serve the most urgent requests if all reclaimable engines leave at
- * the same time. */
-constexpr double kOnDemandRatio = 0.25;
-/** Reclaimable engines for each required engine. With four failure domains this
- * leaves more than are required when one is reclaimed, and, together with the
- * on-demand ones, as many as are required when two are. */
-constexpr double kReclaimableRatio = 1.6;
 /** Time from a reclaim's notice to the response to the resulting order. */
 constexpr Millis kOrderLatency{ 1000 };
 /** Dead band of reclaimable engines, as a fraction of the desired ones: they
@@ -165,9 +157,16 @@
   ServiceState& state = this->services[aPlan.service.id];
   const unsigned reserve = RoundUp(aPlan.required * kOnDemandRatio);
   // On-demand engines make up for required engines that are missing, when
-  // reclaimable ones are neither there nor starting.
+  // reclaimable ones are neither there nor starting. They do not make up for
+  // more than the platform may provide: they would fill the failure domains,
+  // and no reclaimable engine could return there.
+  const ScaleBounds& bounds = *aPlan.service.scale;
+  const auto mostEngines =
+    static_cast<double>(bounds.zonePrices.size() * bounds.maxEngines);
+  const double replaceable =
+    std::min(aPlan.required, mostEngines / kEnginesPerRequired);
   const unsigned missing =
-    RoundUp(aPlan.required - reserve - this->ExpectedServing(aPlan, true));
+    RoundUp(replaceable - reserve - this->ExpectedServing(aPlan, true));
   // Engines that are ordered at a reclaim have started after this time. If
   // reclaims are further apart, each loss is replaced before the next.
   const Millis replacementTime = state.bootTime + kOrderLatency;
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -79,6 +79,17 @@
   /** Ordered engines count as present for bootTime and this: the order, the
    * start and the first entry in the backend list take a while. */
   static constexpr Millis kBootMargin{ 2000 };
+  /** On-demand engines beside the reclaimable ones, for each required engine.
+   * They still serve the most urgent requests if all reclaimable engines leave
+   * at the same time. */
+  static constexpr double kOnDemandRatio = 0.25;
+  /** Reclaimable engines for each required engine. With four failure domains
+   * this leaves more than are required when one is reclaimed, and, together
+   * with the on-demand ones, as many as are required when two are. */
+  static constexpr double kReclaimableRatio = 1.6;
+  /** Engines of both kinds for each required engine. */
+  static constexpr double kEnginesPerRequired =
+    kOnDemandRatio + kReclaimableRatio;
   /** Interval between two steps of a release. */
   static constexpr Millis kReleaseInterval{ 3000 };
 
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -2,6 +2,7 @@
 // it. RequestForwarder.cpp has the sends and what the caller gets.
 #include "RequestForwarder.h"
 
+#include "EngineDemand.h"
 #include "PeerMessenger.h"
 #include "ServingState.h"
 #include "base/Hash.h"
@@ -82,7 +83,7 @@
     placer.AdoptSpeed(this->state.peers.UsualSpeed(service, aNow));
     placer.UpdatePools(this->state.backends.ForService(service),
                        knowsSends ? std::nullopt
-                                  : this->state.longPromptShare(service, aNow),
+                                  : LongPromptShare(this->state, service, aNow),
                        aNow);
   }
   aRequest.isLong = this->HasLongPrompt();
--- a/src/serve/CapacityRecords.cpp
+++ b/src/serve/CapacityRecords.cpp
@@ -48,19 +48,13 @@
 }
 
 void
-RequestForwarder::RecordSentWork(const Placement& aPlacement)
+RequestForwarder::RecordSentWork()
 {
   const EngineTraits* traits = this->Traits();
   if (traits == nullptr) {
     return;
   }
-  Placer& placer = this->ServicePlacer();
-  placer.RecordMemory(this->HeldTokens());
-  const double outputMs = static_cast<double>(this->ExpectedOutput()) *
-                          placer.Speed().outputTokenMs /
-                          std::max(1U, traits->slots);
-  this->state.longPromptMeters[this->request.service].Add(
-    aPlacement.prefillMs + outputMs, this->HasLongPrompt(), this->sentAt);
+  this->ServicePlacer().RecordMemory(this->HeldTokens());
 }
 
 void
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -4,6 +4,8 @@
 #include "coord/PromptPools.h"
 #include "coord/RequiredEngines.h"
 
+#include <algorithm>
+
 namespace toucanshed {
 
 namespace {
@@ -63,6 +65,24 @@
   return RequiredFor(load, *aService.engine);
 }
 
+std::optional<double>
+LongPromptShare(const ServingState& aState,
+                const ServiceId& aService,
+                TimePoint aNow)
+{
+  const PriorityDemand total = OfferedLoadOfAll(aState, aService, aNow).Total();
+  // The first requests after a start do not tell the share.
+  constexpr double kMinRequestsPerS = 20;
+  const auto shareOf = [](double aLong, double aAll) {
+    return aAll > 0 ? std::min(1.0, aLong / aAll) : 0;
+  };
+  if (total.requestsPerS < kMinRequestsPerS) {
+    return std::nullopt;
+  }
+  return std::max(shareOf(total.longPromptTokensPerS, total.promptTokensPerS),
+                  shareOf(total.longPromptSlots, total.slots));
+}
+
 double
 EnginesLostToRateLimits(ServingState& aState,
                         const ServiceId& aService,
--- a/src/serve/EngineDemand.h
+++ b/src/serve/EngineDemand.h
@@ -5,6 +5,8 @@
 
 #include "base/Types.h"
 
+#include <optional>
+
 namespace toucanshed {
 
 struct RequiredEngines;
@@ -28,6 +30,14 @@
                    const ServiceSpec& aService,
                    TimePoint aNow);
 
+/** The part of the engines' work for a service that its long prompts make up:
+ * of prefill and of slot time, whichever is more. Nothing while there are few
+ * requests. Thread safety: as above; reads all heartbeats too. */
+std::optional<double>
+LongPromptShare(const ServingState& aState,
+                const ServiceId& aService,
+                TimePoint aNow);
+
 /** Capacity, in engines of the service, that rate limits take away and that
  * other engines must provide. Thread safety: as above. */
 double
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -408,7 +408,7 @@
                          static_cast<std::int64_t>(aPlacement.uncachedTokens),
                          this->HeldTokens(),
                          this->sentAt);
-  this->RecordSentWork(aPlacement);
+  this->RecordSentWork();
   this->loadGuard = &guard;
   this->LeaveQueue(); // the next request sees the load of this one
   const std::string sharedSection =
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -193,7 +193,7 @@
   [[nodiscard]] std::uint64_t ExpectedOutput();
   /** Tokens that the request holds in an engine's memory. */
   [[nodiscard]] std::uint64_t HeldTokens();
-  void RecordSentWork(const Placement& aPlacement);
+  void RecordSentWork();
   /** Records a rejection for lack of room. */
   void RecordSlotRejection(const BackendResponseHead& aHead);
   /** Records when the response began, as evidence of its engine's speed. */
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -19,7 +19,6 @@
 #include "coord/ExposureBudget.h"
 #include "coord/LimitShares.h"
 #include "coord/ListRevisions.h"
-#include "coord/LongPromptMeter.h"
 #include "coord/LoopLag.h"
 #include "coord/OfferedLoad.h"
 #include "coord/PauseDetector.h"
@@ -141,13 +140,6 @@
   UsageWindows usage;
   ReportedUsage reportedUsage;
   std::map<ServiceId, RateMeter> promptRates; // prompt tokens sent for prefill
-  std::map<ServiceId, LongPromptMeter> longPromptMeters; // of own sends
-  /** The part of a service's required capacity that long prompts make up;
-   * nothing while it is unknown. */
-  std::function<std::optional<double>(const ServiceId&, TimePoint)>
-    longPromptShare = [this](const ServiceId& aService, TimePoint) {
-      return this->longPromptMeters[aService].Share();
-    };
   CrashSuspects crashSuspects;
   Rollouts rollouts;
   /** Snapshots of the operators' topic that brought active rollouts, which may
--- a/test/correctness/PromptPoolsTest.cpp
+++ b/test/correctness/PromptPoolsTest.cpp
@@ -3,7 +3,6 @@
 #include "coord/PromptPools.h"
 #include "base/Random.h"
 #include "coord/Catalog.h"
-#include "coord/LongPromptMeter.h"
 #include "coord/Placement.h"
 
 #include <array>
@@ -195,6 +194,14 @@
     }
   }
 
+  [[nodiscard]] std::optional<double> LongShare() const
+  {
+    constexpr std::size_t kMinRequests = 50; // fewer do not tell
+    return this->sentRequests >= kMinRequests
+             ? std::optional(this->sentLongTokens / this->sentTokens)
+             : std::nullopt;
+  }
+
   void Send(std::size_t aDaemon, std::uint64_t aTokens)
   {
     Daemon& daemon = this->daemons[aDaemon];
@@ -208,11 +215,14 @@
                                     Millis(400));
       request.loadAge = LoadAge(Millis(kMeanAgeMs));
       request.spreadKey = this->random.Next();
-      daemon.placer.UpdatePools(daemon.engines, this->meter.Share(), at);
+      daemon.placer.UpdatePools(daemon.engines, this->LongShare(), at);
     }
     const auto placement =
       daemon.placer.Choose(daemon.engines, request, &this->traits, at);
-    this->meter.Add(static_cast<double>(aTokens), aTokens == kLetterTokens, at);
+    const auto tokens = static_cast<double>(aTokens);
+    ++this->sentRequests;
+    this->sentTokens += tokens;
+    this->sentLongTokens += aTokens == kLetterTokens ? tokens : 0;
     Backend* engine = daemon.table.Find(placement->backend);
     engine->localLoad.running += 1;
     engine->localLoad.promptTokens += static_cast<std::int64_t>(aTokens);
@@ -239,7 +249,9 @@
   Random random{ 5 };
   EngineTraits traits;
   std::vector<double> reportedSpeeds = std::vector<double>(kDaemons);
-  LongPromptMeter meter; // stands for the sums over all daemons
+  std::size_t sentRequests = 0; // by all daemons
+  double sentTokens = 0;
+  double sentLongTokens = 0;
   std::vector<Daemon> daemons;
   std::map<InstanceId, BackendLoad> total; // of the latest reports
   std::map<InstanceId, double> freeAt;     // end of the last prefill
--- a/test/failure/EngineReachTest.cpp
+++ b/test/failure/EngineReachTest.cpp
@@ -72,7 +72,8 @@
   std::size_t ignored = 0;
   co_await SendSteadily(aHarness, aPath, 0, ignored);
   aHarness.HangNextRequests();
-  for (std::size_t i = 0; i < kEngines; ++i) {
+  // One hangs at each engine; so many at once reach all of them.
+  for (std::size_t i = 0; i < 4 * kEngines; ++i) {
     aHarness.state->pool.First().Spawn(
       SendNumbered(aHarness, aPath, 1000 + i, ignored));
   }
