--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -1,10 +1,39 @@
 #include "PeerTable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace toucanshed {
 
+namespace {
+
+/** A reported rate, or 0 if no daemon can have measured it: one invalid report
+ * must not spoil the sum. */
+double
+ValidRate(double aRate)
+{
+  constexpr double kMostPerS = 1e9;
+  return aRate >= 0 && aRate <= kMostPerS ? aRate : 0;
+}
+
+DemandByPriority
+ReadPriorities(const serving::ServiceLoad& aLoad)
+{
+  DemandByPriority demand{};
+  for (const serving::PriorityLoad& load : aLoad.priorities()) {
+    demand.at(PriorityIndex(load.priority())) +=
+      PriorityDemand{ ValidRate(load.requests_per_s()),
+                      ValidRate(load.prompt_tokens_per_s()),
+                      ValidRate(load.long_prompt_tokens_per_s()),
+                      ValidRate(load.slots()),
+                      ValidRate(load.long_prompt_slots()) };
+  }
+  return demand;
+}
+
+} // namespace
+
 void
 PeerTable::AddPeer(const DaemonId& aId, const std::string& aAddress)
 {
@@ -290,18 +319,53 @@
   return this->totalLoads;
 }
 
-double
-PeerTable::PromptRate(const ServiceId& aService, TimePoint aNow) const
+ServiceDemand
+PeerTable::OfferedLoad(const ServiceId& aService, TimePoint aNow) const
 {
-  double rate = 0;
+  ServiceDemand sum;
   for (const serving::DaemonHeartbeat* heartbeat : this->LiveHeartbeats(aNow)) {
     for (const serving::ServiceLoad& service : heartbeat->services()) {
-      if (service.service() == aService.value) {
-        rate += service.prompt_tokens_per_s();
+      if (service.service() != aService.value) {
+        continue;
+      }
+      if (service.priorities().empty()) {
+        sum.unclassifiedTokensPerS += ValidRate(service.prompt_tokens_per_s());
+      } else {
+        sum.Add(ZoneId{ heartbeat->zone() }, ReadPriorities(service));
       }
     }
   }
-  return rate;
+  return sum;
+}
+
+EngineSpeed
+PeerTable::UsualSpeed(const ServiceId& aService, TimePoint aNow) const
+{
+  std::vector<double> prefill;
+  std::vector<double> steps;
+  const auto add = [](double aValue, std::vector<double>& aValues) {
+    if (std::isfinite(aValue) && aValue > 0) {
+      aValues.push_back(aValue);
+    }
+  };
+  for (const serving::DaemonHeartbeat* heartbeat : this->LiveHeartbeats(aNow)) {
+    for (const serving::ServiceLoad& load : heartbeat->services()) {
+      if (load.service() == aService.value) {
+        add(load.prefill_tokens_per_ms(), prefill);
+        add(load.output_token_ms(), steps);
+      }
+    }
+  }
+  const auto median = [](std::vector<double>& aValues) {
+    if (aValues.empty()) {
+      return 0.0;
+    }
+    const auto middle =
+      aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+    std::nth_element(aValues.begin(), middle, aValues.end());
+    return *middle;
+  };
+  return EngineSpeed{ median(prefill), median(steps) };
 }
 
 std::vector<DaemonId>
--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -2,7 +2,10 @@
 // it. RequestForwarder.cpp has the sends and what the caller gets.
 #include "RequestForwarder.h"
 
+#include "EngineDemand.h"
+#include "PeerMessenger.h"
 #include "ServingState.h"
+#include "base/Hash.h"
 #include "edge/Worker.h"
 
 #include <algorithm>
@@ -27,31 +30,63 @@
 }
 
 std::optional<Placement>
-RequestForwarder::ChooseBackend()
+RequestForwarder::ChooseBackend(
+  const std::function<bool(const Backend&)>& aIsEligible)
 {
   PlacementRequest placementRequest;
   placementRequest.prompt = this->request.incoming.prompt;
   placementRequest.triedBackends = this->triedBackends;
   placementRequest.cachedBackends = this->state.prefixCacheIndex.CachedBackends(
     SharedSectionId(placementRequest.prompt), ServingState::Now());
-  const ServiceSpec* spec =
-    this->request.catalog->FindService(this->request.service);
-  const EngineTraits* traits =
-    spec != nullptr && spec->engine ? &*spec->engine : nullptr;
   this->state.CheckForPause();
   const TimePoint now = ServingState::Now();
+  this->AddCapacityInputs(placementRequest, this->Traits(), now);
   SendChoice choice =
     this->state.sendGate.Choose(this->request.service, this->isAllowed, now);
   this->wait = choice.wait;
   this->waitReason = choice.waitReason;
   this->allRefused = choice.backends.empty();
+  if (aIsEligible) {
+    std::erase_if(choice.backends, [&](const Backend* aBackend) {
+      return !aIsEligible(*aBackend);
+    });
+  }
   placementRequest.rateLimited = std::move(choice.limited);
   placementRequest.leastBusy =
     this->state.crashSuspects
       .TrialNeeded(this->request.suspects, this->state.ClusterNow())
       .has_value();
   return this->ServicePlacer().Choose(
-    choice.backends, placementRequest, traits, now);
+    choice.backends, placementRequest, this->Traits(), now);
+}
+
+void
+RequestForwarder::AddCapacityInputs(PlacementRequest& aRequest,
+                                    const EngineTraits* aTraits,
+                                    TimePoint aNow)
+{
+  constexpr int kMeanAgeParts = 2; // a report's age is half an interval
+  const ServiceId& service = this->request.service;
+  Placer& placer = this->ServicePlacer();
+  aRequest.memoryTokens = this->HeldTokens();
+  const std::size_t daemons = this->state.DaemonCount();
+  const bool knowsSends = daemons <= PeerMessenger::kMaxNoticeDaemons;
+  if (!knowsSends) {
+    aRequest.loadAge =
+      LoadAge(PeerMessenger::MeanInterval(daemons) / kMeanAgeParts);
+    aRequest.spreadKey = Hash64(this->request.incoming.attempt.value);
+  }
+  if (aTraits == nullptr) {
+    return;
+  }
+  if (placer.ArePoolsDue(aNow)) {
+    placer.AdoptSpeed(this->state.peers.UsualSpeed(service, aNow));
+    placer.UpdatePools(this->state.backends.ForService(service),
+                       knowsSends ? std::nullopt
+                                  : LongPromptShare(this->state, service, aNow),
+                       aNow);
+  }
+  aRequest.isLong = this->HasLongPrompt();
 }
 
 bool
@@ -75,6 +110,17 @@
          (team == nullptr || allows(team->allowedRegions));
 }
 
+DeferralInput
+RequestForwarder::MakeDeferralInput(const Placement& aPlacement)
+{
+  return DeferralInput{ ServingState::Now() - this->request.arrived,
+                        this->request.route->latencyTarget,
+                        this->TimeLeft(),
+                        aPlacement.expectedMs,
+                        aPlacement.prefillMs,
+                        aPlacement.queuedTokens == 0 };
+}
+
 DeferralDecision
 RequestForwarder::DecideDeferral(const Placement& aPlacement)
 {
@@ -82,15 +128,7 @@
   if (!hasPrompt || this->sends > 0) {
     return DeferralDecision::eSend; // deferred only before its first send
   }
-  const double prefillMs = static_cast<double>(aPlacement.uncachedTokens) /
-                           this->ServicePlacer().Speed().promptTokensPerMs;
-  return DeferralPolicy::Decide(
-    DeferralInput{ ServingState::Now() - this->request.arrived,
-                   this->request.route->latencyTarget,
-                   this->TimeLeft(),
-                   aPlacement.expectedMs,
-                   prefillMs,
-                   aPlacement.queuedTokens == 0 });
+  return DeferralPolicy::Decide(this->MakeDeferralInput(aPlacement));
 }
 
 Millis
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -7,6 +7,7 @@
 #include "ServingState.h"
 #include "StoreClient.h"
 #include "base/Hash.h"
+#include "coord/RequiredEngines.h"
 #include "edge/HttpExchange.h"
 #include "edge/Worker.h"
 
@@ -33,7 +34,9 @@
 } // namespace
 
 Task<unsigned>
-DutyRunner::CallCloud(HttpRequest aRequest, FencingToken aFence)
+DutyRunner::CallCloud(HttpRequest aRequest,
+                      FencingToken aFence,
+                      std::function<bool()> aIsValid)
 {
   const CallTimeouts timeouts{ kCloudConnectTimeout,
                                kCloudCallTimeout,
@@ -42,9 +45,9 @@
   // A holder that is suspended between its record and its call wakes up with a
   // call that another holder has superseded. Sending it would undo that
   // holder's order, so the claim is checked again just before the send.
-  PreSendCheck maySend = [this, aFence] {
+  PreSendCheck maySend = [this, aFence, aIsValid] {
     return this->HoldsDuties() && this->state.dutyFence == aFence &&
-           this->IsClaimConfirmed();
+           this->IsClaimConfirmed() && aIsValid();
   };
   auto response = co_await Fetch(this->state.pool.First(),
                                  *this->state.settings.cloud,
@@ -232,14 +235,22 @@
   if (catalog == nullptr || !this->state.backendsRead) {
     return;
   }
+  const TimePoint now = ServingState::Now();
+  const bool isComplete = this->state.peers.HasReadList() &&
+                          this->state.peers.PeersWithoutHeartbeat().empty();
   for (const auto& [id, service] : catalog->services) {
-    if (service.scale) {
-      this->planner.Observe(id,
-                            this->state.backends,
-                            this->state.rollouts.Find(id),
-                            ServingState::Now());
+    if (!service.scale) {
+      continue;
+    }
+    this->planner.Observe(
+      id, this->state.backends, this->state.rollouts.Find(id), now);
+    this->planner.SetDemandComplete(id, isComplete);
+    if (now >= this->nextDemandAt) {
+      this->RecordDemand(service, now);
     }
   }
+  this->nextDemandAt =
+    now >= this->nextDemandAt ? now + kPlanInterval : this->nextDemandAt;
 }
 
 Task<void>
@@ -256,7 +267,7 @@
     if (!service.scale || !service.engine) {
       continue;
     }
-    const double required = this->RecentPeakDemand(service, now);
+    const double required = this->RecordDemand(service, now);
     this->planner.SetLostEngines(id,
                                  EnginesLostToRateLimits(this->state, id, now));
     const std::vector<GroupTarget> orders =
@@ -276,7 +287,7 @@
 }
 
 double
-DutyRunner::RecentPeakDemand(const ServiceSpec& aService, TimePoint aNow)
+DutyRunner::RecordDemand(const ServiceSpec& aService, TimePoint aNow)
 {
   const double required = RequiredEnginesNow(this->state, aService, aNow).Max();
   RecentMax& recentMax =
@@ -313,12 +324,24 @@
 DutyRunner::SendOrder(GroupTarget aOrder, FencingToken aFence, double aRequired)
 {
   const EngineGroup& group = aOrder.group;
+  // A rollout may become known while the call waits for its connection.
+  std::function<bool()> isValid = [this, aOrder] {
+    return this->planner.MaySend(
+      aOrder,
+      this->state.rollouts.Find(aOrder.group.service),
+      ServingState::Now());
+  };
+  if (!isValid()) {
+    --this->pendingOrders;
+    co_return; // planned again with the new engines
+  }
   const ScaleOrder order{
     group.service, group.zone, aOrder.desired, group.reclaimable
   };
   const unsigned status = co_await this->CallCloud(
     this->state.wire.cloud.scale(this->state.settings.id, aFence, order),
-    aFence);
+    aFence,
+    isValid);
   --this->pendingOrders;
   this->state.log.Emit(
     Event("engines.ordered")
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -1,10 +1,43 @@
 #include "EngineDemand.h"
 
 #include "ServingState.h"
-#include "coord/ScalePlanner.h"
+#include "coord/PromptPools.h"
+#include "coord/RequiredEngines.h"
+
+#include <algorithm>
 
 namespace toucanshed {
 
+namespace {
+
+/** Mean prompt of the priorities, weighted by the tokens of each. */
+double
+MeanPromptTokens(const ServiceDemand& aDemand)
+{
+  double tokens = 0;
+  double weighted = 0;
+  for (const PriorityDemand& demand : aDemand.ByPriority()) {
+    if (demand.requestsPerS > 0) {
+      tokens += demand.promptTokensPerS;
+      weighted +=
+        demand.promptTokensPerS * demand.promptTokensPerS / demand.requestsPerS;
+    }
+  }
+  return tokens > 0 ? weighted / tokens : 0;
+}
+
+} // namespace
+
+ServiceDemand
+OfferedLoadOfAll(const ServingState& aState,
+                 const ServiceId& aService,
+                 TimePoint aNow)
+{
+  ServiceDemand demand = aState.peers.OfferedLoad(aService, aNow);
+  demand.Add(aState.settings.zone, aState.offeredLoad.At(aService, aNow));
+  return demand;
+}
+
 RequiredEngines
 RequiredEnginesNow(ServingState& aState,
                    const ServiceSpec& aService,
@@ -13,17 +46,41 @@
   if (!aService.engine) {
     return RequiredEngines{};
   }
-  ServiceDemand demand;
-  demand.promptTokensPerS = aState.promptRates[aService.id].At(aNow) +
-                            aState.peers.PromptRate(aService.id, aNow);
-  for (const Backend* backend : aState.backends.ForService(aService.id)) {
-    demand.runningRequests += static_cast<double>(backend->TotalRunning());
-  }
+  const ServiceDemand demand = OfferedLoadOfAll(aState, aService.id, aNow);
+  const PriorityDemand total = demand.Total();
+  CapacityDemand load;
+  load.promptTokensPerS = total.promptTokensPerS;
+  load.busySlots = total.slots;
+  load.meanPromptTokens = MeanPromptTokens(demand);
   const auto placer = aState.placers.find(aService.id);
   if (placer != aState.placers.end()) {
-    demand.prefillTokensPerMs = placer->second.Speed().promptTokensPerMs;
+    load.prefillTokensPerMs = placer->second.Speed().promptTokensPerMs;
+  }
+  if (aState.catalog != nullptr) {
+    const Millis smallest = SmallestTarget(*aState.catalog, aService.id);
+    if (smallest > Millis(0)) {
+      load.smallestTarget = smallest;
+    }
+  }
+  return RequiredFor(load, *aService.engine);
+}
+
+std::optional<double>
+LongPromptShare(const ServingState& aState,
+                const ServiceId& aService,
+                TimePoint aNow)
+{
+  const PriorityDemand total = OfferedLoadOfAll(aState, aService, aNow).Total();
+  // The first requests after a start do not tell the share.
+  constexpr double kMinRequestsPerS = 20;
+  const auto shareOf = [](double aLong, double aAll) {
+    return aAll > 0 ? std::min(1.0, aLong / aAll) : 0;
+  };
+  if (total.requestsPerS < kMinRequestsPerS) {
+    return std::nullopt;
   }
-  return ScalePlanner::RequiredFor(demand, *aService.engine);
+  return std::max(shareOf(total.longPromptTokensPerS, total.promptTokensPerS),
+                  shareOf(total.longPromptSlots, total.slots));
 }
 
 double
@@ -46,11 +103,10 @@
   if (reportedLimits.empty()) {
     return 0;
   }
-  const double localRate = aState.requestRates[aService].At(aNow);
-  const auto daemons = static_cast<double>(aState.DaemonCount());
-  const RequestRate usualRate{ localRate * daemons /
-                               static_cast<double>(engines) };
-  return ScalePlanner::LostToRateLimits(reportedLimits, usualRate);
+  const double rate =
+    OfferedLoadOfAll(aState, aService, aNow).Total().requestsPerS;
+  const RequestRate usualRate{ rate / static_cast<double>(engines) };
+  return LostToRateLimits(reportedLimits, usualRate);
 }
 
 } // namespace toucanshed
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -3,6 +3,7 @@
 #include "RequestForwarder.h"
 
 #include "BackendLoadGuard.h"
+#include "OfferedRequests.h"
 #include "RelayFields.h"
 #include "ServingState.h"
 
@@ -37,6 +38,7 @@
   if (head.notRun) {
     this->lastFailure =
       "turned away with " + std::to_string(aExchange.Status());
+    this->RecordSlotRejection(head);
     co_return SendOutcome::eNotRun;
   }
   this->state.sendGate.RecordAccepted(this->ticket, ServingState::Now());
@@ -157,12 +159,8 @@
   this->responseStartedAt = now;
   if (this->peer.Empty()) {
     this->loadGuard->RecordFirstToken();
-    const auto elapsedMs = static_cast<double>((now - this->sentAt).count());
-    this->ServicePlacer().RecordResponseStart(
-      static_cast<double>(aPlacement.uncachedTokens + aPlacement.queuedTokens),
-      elapsedMs);
-    this->state.backends.RecordResponseStart(
-      aPlacement.backend, elapsedMs, aPlacement.expectedMs);
+    this->RecordSpeed(aPlacement, now);
+    this->state.queues.Notify();
   }
   this->state.metrics.RecordFirstToken(
     static_cast<double>((now - this->request.arrived).count()));
@@ -178,6 +176,26 @@
   }
 }
 
+void
+RequestForwarder::RecordSlotTime(const Placement& aPlacement)
+{
+  if (this->request.relayed) {
+    return; // counted by the daemon that admitted it
+  }
+  // The wait before the first event counts as far as the prompt itself takes
+  // it: the rest is the queue of a busy engine.
+  const Millis untilFirst = this->responseStartedAt - this->sentAt;
+  const Millis streamed = ServingState::Now() - this->responseStartedAt;
+  const auto prefill = Millis(
+    static_cast<std::int64_t>(static_cast<double>(aPlacement.uncachedTokens) /
+                              this->ServicePlacer().Speed().promptTokensPerMs));
+  const bool isStream = IsStream(this->request.route->kind);
+  RecordOfferedFinish(
+    this->state,
+    this->request,
+    streamed + (isStream ? std::min(untilFirst, prefill) : untilFirst));
+}
+
 Task<SendOutcome>
 RequestForwarder::RelayStream(HttpExchange& aExchange,
                               const Placement& aPlacement)
@@ -213,8 +231,10 @@
     co_return SendOutcome::eMayHaveRun;
   }
   co_await this->responder.End();
+  this->RecordSlotTime(aPlacement);
   this->RecordWritten();
   this->state.backends.RecordSuccess(aPlacement.backend);
+  this->RecordOutput(aPlacement);
   this->LogEnd(kOk, "streamed");
   co_return SendOutcome::eResponded;
 }
@@ -296,6 +316,7 @@
   }
   this->RecordResponseStart(aPlacement);
   if (!failed) {
+    this->RecordSlotTime(aPlacement);
     this->RecordWritten();
   }
   const bool retry =
--- a/src/serve/ServingRequest.h
+++ b/src/serve/ServingRequest.h
@@ -28,6 +28,7 @@
   std::vector<PromptSection> prompt;
   std::uint64_t promptTokens = 0;
   std::uint64_t maxOutputTokens = 0;
+  std::uint64_t lengthHint = 0; // expected output tokens; 0: not stated
   bool hasTokenCounts = false;
   std::optional<std::uint64_t> resumeAfter; // last event the caller has
   /** Head and body as received, for forwarding. */
@@ -55,6 +56,11 @@
   {
     return { this->suspects.begin(), this->suspects.end() - 1 };
   }
+  /** Its team; empty on open routes. */
+  [[nodiscard]] TeamId TeamName() const
+  {
+    return this->team != nullptr ? this->team->id : TeamId{};
+  }
   /** Priority, 0 being the most urgent. A team's priority overrides its
    * route's. */
   [[nodiscard]] int Priority() const
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -2,8 +2,10 @@
 
 #include "PeerMessenger.h"
 #include "base/Hash.h"
+#include "coord/PromptPools.h"
 #include "coord/StoreReaders.h"
 
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
 #include <ctime>
@@ -55,6 +57,12 @@
              warmupLimits,
              domainDrains,
              crashSuspects)
+  , queues(
+      [this](std::function<void()> aFunction) {
+        boost::asio::post(this->pool.First().context, std::move(aFunction));
+      },
+      &Now,
+      metrics)
   , storeOutage(settings.entryInterval)
   , random(Hash64(settings.id.value, aIncarnation))
 {
@@ -108,6 +116,19 @@
   return this->catalog != nullptr && this->backendsRead && !this->stopping;
 }
 
+bool
+ServingState::HasLongPrompt(const ServiceId& aService,
+                            std::uint64_t aTokens) const
+{
+  const auto placer = this->placers.find(aService);
+  if (this->catalog == nullptr || placer == this->placers.end()) {
+    return false;
+  }
+  return IsLongPrompt(static_cast<double>(aTokens),
+                      placer->second.AgreedTokensPerMs(),
+                      SmallestTarget(*this->catalog, aService));
+}
+
 std::optional<std::size_t>
 ServingState::StoreReaderRank() const
 {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "RequestQueues.h"
 #include "ServingSettings.h"
 #include "WireFormats.h"
 #include "base/EventLog.h"
@@ -19,6 +20,7 @@
 #include "coord/LimitShares.h"
 #include "coord/ListRevisions.h"
 #include "coord/LoopLag.h"
+#include "coord/OfferedLoad.h"
 #include "coord/PauseDetector.h"
 #include "coord/PeerTable.h"
 #include "coord/Placement.h"
@@ -84,6 +86,10 @@
   {
     return this->StoreReaderRank().has_value();
   }
+  /** Whether a prompt with this many tokens is a long one for the service, by
+   * the configuration in force and the speed that all daemons agree on. */
+  [[nodiscard]] bool HasLongPrompt(const ServiceId& aService,
+                                   std::uint64_t aTokens) const;
   /** Updates the teams' quotas with what the other daemons have reported about
    * them. */
   void UpdateQuotas(TimePoint aNow);
@@ -128,7 +134,7 @@
   PrefixCacheIndex prefixCacheIndex;
   LoopLag loopLag;
   RetryCredit retries;
-  std::map<ServiceId, RateMeter> requestRates; // admitted here
+  OfferedLoad offeredLoad; // admitted here
   TeamQuotas quotas;
   QuotaExchange quotaExchange;
   UsageWindows usage;
@@ -151,6 +157,7 @@
   SendGate sendGate;
   EngineReach engineReach;
   RelayChoice relayChoice;
+  RequestQueues queues; // of services with engine properties
   /** Reports recorded usage reports to the other daemons at once. */
   std::function<void()> sendUsageReports = [] {};
   /** Reports the store's era to the other daemons at once. */
