Waiting requests that end, back ends that have gone, and huge section sizes

A placement kept while a request waits may name a back end that is gone by then: asking for its permit dereferenced it. A request that was rejected kept its place in the queue until its response was written. At the exit, requests leaving their queues posted to the worker that was being destroyed. Sums of prompt sections could overflow, so a prompt larger than any engine's memory passed as short (new test). Prompts that no engine can hold counted as offered load and ordered engines.

--- a/src/serve/BackendChoice.cpp
+++ b/src/serve/BackendChoice.cpp
@@ -149,6 +149,9 @@
 {
   this->permitUntil.reset();
   const Backend* backend = this->state.backends.Find(aBackend);
+  if (backend == nullptr) {
+    co_return true; // it has gone since it was chosen, which the gate finds
+  }
   const TimePoint now = ServingState::Now();
   WarmupLimits& limits = this->state.warmupLimits;
   const PermitSource source = limits.SourceOf(*backend, now);
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -124,16 +124,18 @@
 {
   this->responder.NotifyOnDisconnect(
     [handle = this->abort] { handle->Abort(); });
+  const TimePoint now = ServingState::Now();
   if (!this->request.relayed) {
-    const TimePoint now = ServingState::Now();
     this->state.retries.RecordRequest(this->request.service, now);
-    RecordOfferedLoad(this->state, this->request, now);
   }
   if (this->ExceedsEngineMemory()) {
     this->lastFailure = "the prompt exceeds the engines' memory";
     co_await this->SendRejection(this->lastFailure);
     co_return;
   }
+  if (!this->request.relayed) {
+    RecordOfferedLoad(this->state, this->request, now);
+  }
   while (true) {
     if (this->abort->Aborted() || this->responder.HasReceiverLeft()) {
       this->LogEnd(0, "caller left");
@@ -176,6 +178,7 @@
       break;
     }
   }
+  this->LeaveQueue();
   co_await this->EndWithoutResponse(this->lastOutcome);
 }
 
--- a/src/serve/RequestQueues.cpp
+++ b/src/serve/RequestQueues.cpp
@@ -22,7 +22,7 @@
     this->services.begin(), this->services.end(), [](const auto& aService) {
       return aService.second.queue.Size() > 0;
     });
-  if (!anyWaits || this->notified) {
+  if (!anyWaits || this->notified || this->stopped) {
     return;
   }
   this->notified = true;
--- a/src/serve/RequestQueues.h
+++ b/src/serve/RequestQueues.h
@@ -41,6 +41,9 @@
 
   /** Some engine may have room now. */
   void Notify();
+  /** Starts nothing more. Called before the worker is destroyed: requests that
+   * are still in progress then leave their queues. */
+  void Stop() { this->stopped = true; }
   /** The same, unless waiting requests were offered within kPollInterval: all
    * of them poll, and one offer is for all. */
   void NotifyIfDue();
@@ -82,6 +85,7 @@
   Metrics& metrics;
   std::map<ServiceId, ServiceQueue> services;
   bool notified = false;
+  bool stopped = false;
   TimePoint offeredAt; // waiting requests were offered to the engines last
 };
 
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -58,6 +58,9 @@
   ServingState(ServingSettings aSettings,
                WireFormats aWire,
                std::uint64_t aIncarnation);
+  ~ServingState() { this->queues.Stop(); }
+  ServingState(const ServingState&) = delete;
+  ServingState& operator=(const ServingState&) = delete;
 
   /** The steady clock, which changes of the wall clock do not affect. */
   [[nodiscard]] static TimePoint Now();
--- a/test/error/CapacityInputErrors.cpp
+++ b/test/error/CapacityInputErrors.cpp
@@ -1,6 +1,7 @@
 // Sizes in requests and in the configuration that are missing or make no sense.
 // Guards against an engine that appears to be full, or against the loss of the
 // request, because of one.
+#include "coord/Placement.h"
 #include "platform/Names.h"
 #include "platform/RecordFormat.h"
 #include "platform/RequestFormat.h"
@@ -47,6 +48,21 @@
   }
 }
 
+// Guards against a sum of sections that overflows, so that a prompt larger than
+// any engine's memory seems to be a short one.
+TEST_CASE("token counts of prompt sections do not overflow")
+{
+  HttpRequest message{ http::verb::post, "/", 11 };
+  message.set(http::field::host, "svc");
+  message.set(platform::kAttemptField, "a1");
+  message.set(platform::kPrefixHashField,
+              "aa:18446744073709551615,bb:11,cc:1000000000000");
+  const auto request = platform::ParseRequest(message);
+  REQUIRE(request);
+  CHECK(TotalTokens(request->prompt) > 1'000'000'000);
+  CHECK(TotalTokens(request->prompt) < 1'000'000'000'000);
+}
+
 TEST_CASE("engine sizes that make no sense count as not stated")
 {
   const EngineTraits stated =
