--- a/test/failure/EngineMemoryTest.cpp
+++ b/test/failure/EngineMemoryTest.cpp
@@ -31,7 +31,7 @@
 
 TEST_CASE("a prompt larger than the engines' memory is rejected")
 {
-  PlatformHarness harness(24400);
+  PlatformHarness harness(24560);
   auto& engine = harness.AddEngine("e1", "model");
   json::object catalog =
     json::parse(PlatformHarness::CatalogText(1)).as_object();
