Plainer words in comments

Cause: new comments used figures of speech (tell, hear, silent). Change: the field's plain verbs, in comments only. Measured: formatter clean; no code line differs, so no test was run again.

--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -61,7 +61,7 @@
   auto operator<=>(const BackendLoad&) const = default;
 };
 
-/** Average of what the other daemons have reported lately. */
+/** Average of what the other daemons have reported recently. */
 struct UsualLoad
 {
   double running = 0;
--- a/src/coord/EngineCapacity.cpp
+++ b/src/coord/EngineCapacity.cpp
@@ -96,7 +96,7 @@
   double responseMs =
     std::max(kMinMs, aBackend.speed.ResponseMs(aUsualMs, aNow));
   if (aBackend.localLoad.running > 0) {
-    // It has been silent for so long although requests wait there.
+    // It has sent nothing for so long although requests wait there.
     const auto silence =
       static_cast<double>((aNow - aBackend.lastProgressAt).count());
     responseMs = std::max(responseMs, silence);
--- a/src/coord/EngineCounts.h
+++ b/src/coord/EngineCounts.h
@@ -32,7 +32,7 @@
                         : this->newVersionOnDemand;
   }
   /** Size of the platform's group of one kind, as far as it is listed: the
-   * platform does not tell versions apart. */
+   * platform does not distinguish versions. */
   [[nodiscard]] unsigned GroupSize(bool aReclaimable) const
   {
     return this->Serving(aReclaimable) + this->NewVersion(aReclaimable);
--- a/src/coord/ScalePlanner.h
+++ b/src/coord/ScalePlanner.h
@@ -201,7 +201,7 @@
                                  const ZoneId& aZone,
                                  bool aReclaimable) const;
   /** Whether engines may be released: no rollout is active, no reclaimable
-   * engine was refused, and none crashed or was reclaimed lately. */
+   * engine was refused, and none crashed or was reclaimed recently. */
   [[nodiscard]] bool MayRelease(const ServiceId& aService,
                                 TimePoint aNow) const;
   /** Whether engines of a rollout's new version may still appear. */
--- a/src/coord/SlotReservation.h
+++ b/src/coord/SlotReservation.h
@@ -80,10 +80,10 @@
 constexpr std::size_t kMaxDaemonsWithNotices = 24;
 
 /** Expected requests on an engine. What others reported has changed since: the
- * older the reports are, compared to the time of a request, the less they tell,
+ * older the reports are, compared to the time of a request, the less they say,
  * and the closer is the expected load to that of the other engines. Without
  * this, all daemons would send to the engine that was last reported as the
- * least loaded, until they hear of each other's requests. */
+ * least loaded, until they receive each other's reports. */
 double
 ExpectedRunning(const EngineLoadView& aEngine);
 
--- a/src/coord/WarmupLimits.h
+++ b/src/coord/WarmupLimits.h
@@ -45,7 +45,8 @@
 {
   bool granted = false;
   Millis retryAfter{ 0 }; // if not granted
-  /** The owner cannot tell what others grant, so the one that asked decides. */
+  /** The owner does not know what others grant, so the one that asked decides.
+   */
   bool ownerStarting = false;
 };
 
@@ -155,7 +156,7 @@
   /** Decides about a request to the back end, of this daemon or of another one
    * that takes this one for the owner, and counts it if it is granted. */
   PermitDecision Grant(const Backend& aBackend, bool aForPeer, TimePoint aNow);
-  /** Decides as a daemon whose owner cannot tell what others grant. */
+  /** Decides as a daemon whose owner does not know what others grant. */
   PermitDecision GrantEqualPart(const Backend& aBackend, TimePoint aNow);
   /** The owner refused a permit, or did not answer: none is asked for before
    * aUntil. */
--- a/src/serve/EngineDemand.cpp
+++ b/src/serve/EngineDemand.cpp
@@ -71,7 +71,7 @@
                 TimePoint aNow)
 {
   const PriorityDemand total = OfferedLoadOfAll(aState, aService, aNow).Total();
-  // The first requests after a start do not tell the share.
+  // The first requests after a start do not show the share.
   constexpr double kMinRequestsPerS = 20;
   const auto shareOf = [](double aLong, double aAll) {
     return aAll > 0 ? std::min(1.0, aLong / aAll) : 0;
