--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,19 @@
 """The store comes back from an older copy as all daemons are killed; the holder
 of the duties is killed again, and the next one reports a window that the
 platform has a report of, with other counts."""
-import asyncio
-import json
 import os
 import sys
+
+def could_not_run(*error):
+    """Python would exit with 1, which says that the rule was broken."""
+    sys.__excepthook__(*error)
+    os._exit(2)
+
+
+sys.excepthook = could_not_run
+
+import asyncio
+import json
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
--- a/review/standins.py
+++ b/review/standins.py
@@ -4,8 +4,10 @@
 deploy/system.toml. Standard library only."""
 import asyncio
 import base64
+import ctypes
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -351,12 +353,25 @@
             writer.close()
 
 
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+def end_with_parent(parent):
+    """In a daemon's process, before its program: the kernel kills it when the
+    script's process ends, also by SIGKILL."""
+    set_parent_death_signal = 1  # PR_SET_PDEATHSIG
+    LIBC.prctl(set_parent_death_signal, signal.SIGKILL, 0, 0, 0)
+    if os.getppid() != parent:
+        os._exit(1)
+
+
 class Daemons:
     """The daemons, each a process with the deploy file's command."""
 
     def __init__(self, record, count, store_port, cloud_port):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="toucanshed-review-")
+        self.stopped = False
         self.processes = []
         self.current = {}  # the latest process of each daemon
         self.fronts = []
@@ -393,11 +408,16 @@
             self.start(i)
 
     def start(self, i):
+        if self.stopped:
+            return None
         path = os.path.join(self.folder, "settings-%d.json" % i)
         log = open(os.path.join(self.folder, "daemon-%d.log" % i), "a")
+        parent = os.getpid()
         process = subprocess.Popen(
             [DAEMON, "--settings", path], cwd=ROOT, stdout=log,
-            stderr=subprocess.STDOUT)
+            stderr=subprocess.STDOUT,
+            preexec_fn=lambda: end_with_parent(parent))
+        log.close()
         self.processes.append(process)
         self.current[i] = process
         self.record.add("daemon %d starts, process %d" % (i, process.pid))
@@ -416,10 +436,13 @@
         return True
 
     def stop(self):
+        """Ends all processes; none is started after it."""
+        self.stopped = True
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
                 process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def crashed(self):
         """Exit codes of processes that ended by themselves."""
@@ -499,9 +522,18 @@
         record.add("target/toucanshedd is not built")
         record.close()
         sys.exit(2)
+
+    async def run():
+        # An interrupted case ends as one that failed does, in its `finally`.
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(record, trouble), 100)
+
     try:
-        result = asyncio.run(asyncio.wait_for(case(record, trouble), 100))
-    except Exception as error:  # the case could not run
+        result = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         record.add("could not run: %r" % error)
         result = 2
     record.add("result %d" % result)
