Usage: a holder that is new knows reports by the store's records, not by silence

Cause: a holder held windows back only if it had seen the store's era change while it ran, or if its claim was the first record of the era. The second holder after the loss, or the first one claiming again, is neither, though its process is as young: it took "no report is known here" for "none was sent".

Change: the first holder of an era writes a time at which the era had begun to a keyed topic, which keeps it. A window that could be reported only after that is decided by the records. For an earlier one a live daemon must have been in touch since before the window's end; daemons say so in the ledgers that they send to the holder. With neither, the window is withheld. Holders that are new therefore report what older daemons have counted, and long after a restore nothing is withheld.

Not taken: withholding whenever the holder is new (usage would be missing), and passing on what a holder has withheld (it may be killed before).

--- a/src/coord/PeerTable.cpp
+++ b/src/coord/PeerTable.cpp
@@ -99,7 +99,7 @@
 }
 
 void
-PeerTable::ReceiveLedger(const serving::UsageLedger& aLedger)
+PeerTable::ReceiveLedger(const serving::UsageLedger& aLedger, TimePoint aNow)
 {
   const auto found = this->peers.find(DaemonId{ aLedger.id() });
   if (found == this->peers.end()) {
@@ -115,8 +115,13 @@
     }
     ledger.counts.clear();
     ledger.openWindow = 0;
+    ledger.remembersSince.reset();
     ledger.incarnation = aLedger.life();
   }
+  if (aLedger.has_remembers_since_ms()) {
+    ledger.receivedAt = aNow;
+    ledger.remembersSince = TimePoint{ aLedger.remembers_since_ms() };
+  }
   for (const serving::UsageCount& usage : aLedger.usage()) {
     std::uint64_t& count =
       ledger.counts[{ usage.window(), TeamId{ usage.team() } }];
@@ -384,6 +389,23 @@
   return pending;
 }
 
+std::optional<TimePoint>
+PeerTable::ReportsRememberedSince(TimePoint aFrom, TimePoint aNow) const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& [id, peer] : this->peers) {
+    const bool counts = peer.IsLive(aNow, this->PeerTimeout()) &&
+                        peer.ledger.remembersSince &&
+                        peer.ledger.incarnation == peer.heartbeat.life() &&
+                        peer.ledger.receivedAt >= aFrom;
+    if (counts) {
+      earliest = std::min(earliest.value_or(*peer.ledger.remembersSince),
+                          *peer.ledger.remembersSince);
+    }
+  }
+  return earliest;
+}
+
 std::map<TeamId, std::uint64_t>
 PeerTable::Usage(std::uint64_t aWindow) const
 {
--- a/src/coord/PeerTable.h
+++ b/src/coord/PeerTable.h
@@ -62,7 +62,7 @@
   /** Records whether a daemon reaches engines, until its next heartbeat. */
   void ReceiveReach(const serving::ReachReport& aReport);
   /** Records the usage counts that a daemon reports to the duty holder. */
-  void ReceiveLedger(const serving::UsageLedger& aLedger);
+  void ReceiveLedger(const serving::UsageLedger& aLedger, TimePoint aNow);
   /** Adds a prompt that a daemon has sent since its last heartbeat. */
   void ReceiveSendNotice(const serving::PromptNotice& aNotice);
   void Expire(TimePoint aNow);
@@ -134,6 +134,12 @@
   /** Live daemons that have not reported final counts for a window. */
   [[nodiscard]] std::vector<DaemonId> PendingDaemons(std::uint64_t aWindow,
                                                      TimePoint aNow) const;
+  /** The earliest cluster time since which one of the live daemons has received
+   * every usage report, by ledgers that arrived at aFrom or later; nothing
+   * without such a ledger. */
+  [[nodiscard]] std::optional<TimePoint> ReportsRememberedSince(
+    TimePoint aFrom,
+    TimePoint aNow) const;
   /** Requests counted by all other daemons in a window, including failed ones.
    */
   [[nodiscard]] std::map<TeamId, std::uint64_t> Usage(
@@ -154,6 +160,8 @@
     std::uint64_t openWindow = 0; // counts of windows before it are final
     UsageCounts counts;           // of this incarnation
     UsageCounts previousCounts;   // of earlier incarnations
+    TimePoint receivedAt;
+    std::optional<TimePoint> remembersSince; // cluster time
   };
   struct Peer
   {
--- a/src/coord/ReportedUsage.cpp
+++ b/src/coord/ReportedUsage.cpp
@@ -22,21 +22,26 @@
 
 AddUpDecision
 ReportedUsage::MayAddUp(const UsageHistory& aHistory,
-                        TimePoint aReportableFrom,
+                        const WindowTimes& aWindow,
                         TimePoint aNow)
 {
-  const bool endedBeforeEra =
-    aHistory.eraSince.ms != 0 && aReportableFrom <= aHistory.eraSince;
-  // Before the first record of an era the store may have gone back unseen.
-  const bool mayBeLost = endedBeforeEra || aHistory.firstOfEra;
-  if (!mayBeLost) {
-    return AddUpDecision::eYes;
+  const bool seenBefore = aWindow.reportableFrom > aHistory.eraSeenAt;
+  const bool begunBefore =
+    aHistory.eraBegunBy &&
+    aWindow.reportableFrom > *aHistory.eraBegunBy + kMaxClockError;
+  if (seenBefore || begunBefore) {
+    return AddUpDecision::eYes; // a report would be in the records
+  }
+  const bool settled = aNow - aHistory.eraSeenAt >= kSettleTime;
+  if (!settled) {
+    return AddUpDecision::eWait;
   }
-  if (aHistory.startedAt > aReportableFrom) {
-    return AddUpDecision::eNever;
+  const bool remembered =
+    aHistory.rememberedSince && *aHistory.rememberedSince <= aWindow.endedAt;
+  if (remembered) {
+    return AddUpDecision::eYes;
   }
-  const bool settled = aNow - aHistory.eraSince >= kSettleTime;
-  return settled ? AddUpDecision::eYes : AddUpDecision::eWait;
+  return aHistory.eraBegunBy ? AddUpDecision::eNever : AddUpDecision::eWait;
 }
 
 } // namespace toucanshed
--- a/src/coord/ReportedUsage.h
+++ b/src/coord/ReportedUsage.h
@@ -9,15 +9,29 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace toucanshed {
 
-/** What a duty holder knows of the time in which reports may have been lost. */
+/** What a duty holder knows of the time in which reports may have been lost.
+ * All times are cluster times. */
 struct UsageHistory
 {
-  TimePoint startedAt;     // of its process
-  TimePoint eraSince;      // when it learned that the store went back; 0: never
-  bool firstOfEra = false; // its claim is the first record of the era
+  /** When this process first knew the store's present era. */
+  TimePoint eraSeenAt;
+  /** A time at which the era had begun, as the store keeps it; nothing while it
+   * has not been read. */
+  std::optional<TimePoint> eraBegunBy;
+  /** The earliest time since which some live daemon, this one included, has
+   * received every report; nothing if no daemon has said so. */
+  std::optional<TimePoint> rememberedSince;
+};
+
+/** When a window ended, and when it could be reported first. Cluster times. */
+struct WindowTimes
+{
+  TimePoint endedAt;
+  TimePoint reportableFrom;
 };
 
 /** Whether a holder may add up the counts of a window that nobody is known to
@@ -26,7 +40,7 @@
 {
   eYes,
   eWait,  // other daemons may still send a report
-  eNever, // a report may be lost, and this daemon would not have received it
+  eNever, // a report may be lost, and no daemon would have received it
 };
 
 /**
@@ -36,6 +50,11 @@
  * remembers what holders have recorded, and sends it to those that may be the
  * next holder.
  *
+ * That no report is known tells something only where it would be known: the
+ * records of the store's present era have all of its reports, and a daemon has
+ * received those that were recorded while it ran. A process that has started
+ * since knows neither by itself.
+ *
  * Thread safety: none; the owner serialises.
  */
 class ReportedUsage
@@ -47,6 +66,11 @@
   /** After the store went back, the other daemons send within this time which
    * reports were recorded. */
   static constexpr Millis kSettleTime{ 1500 };
+  /** A daemon that speaks this long after the store went back has received all
+   * reports that were recorded before. */
+  static constexpr Millis kDeliveryTime{ 500 };
+  /** Daemons that start alone may differ in their times of day by this much. */
+  static constexpr Millis kMaxClockError{ 5000 };
 
   /** Remembers a report; the first one of a window counts.
    * \return whether it is news */
@@ -59,9 +83,10 @@
     return this->reports;
   }
 
-  /** \param aReportableFrom when the window could be reported first */
+  /** Whether a window of which no report is known may be added up.
+   * \param aNow cluster time */
   [[nodiscard]] static AddUpDecision MayAddUp(const UsageHistory& aHistory,
-                                              TimePoint aReportableFrom,
+                                              const WindowTimes& aWindow,
                                               TimePoint aNow);
 
 private:
--- a/src/serve/DutyRunner.cpp
+++ b/src/serve/DutyRunner.cpp
@@ -41,6 +41,7 @@
   : state(aState)
   , bootTime(std::move(aBootTime))
   , holderReportedAt(ServingState::Now())
+  , eraStart(aState)
 {
 }
 
@@ -266,7 +267,6 @@
   claim.set_holder(this->state.settings.id.value);
   claim.set_life(this->state.incarnation);
   const StorePosition at = this->dutyLog.NextPosition();
-  const bool isFirst = !this->dutyLog.HasCurrentRecords();
   claim.set_era(at.era.value);
   const auto appended = co_await AppendToStore(
     this->state, StoreTopic::eDuties, claim.SerializeAsString(), at);
@@ -277,7 +277,6 @@
   this->dutyLog.Apply(claim, ServingState::Now());
   this->state.dutyLogEnd = this->dutyLog.NextPosition();
   this->state.dutyFence = this->dutyLog.Claim()->fence;
-  this->firstOfEra = isFirst;
   this->acceptedReports.clear();
   this->state.log.Emit(
     Event("duty.claimed").With("fence", this->state.dutyFence.value));
--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "EraStart.h"
 #include "ServingState.h"
 #include "WireFormats.h"
 #include "coord/DutyLog.h"
@@ -55,6 +56,8 @@
   /** Whether a window may be added up: no report of it can have been sent whose
    * record the store has lost, or another daemon would have reported it. */
   bool MayAddUp(std::uint64_t aWindow);
+  /** What is known of reports that the store may have lost. */
+  [[nodiscard]] UsageHistory KnownUsageHistory() const;
   /** Adds up the counts of all daemons. */
   serving::UsageReport AddUp(std::uint64_t aWindow) const;
   /** Updates the planner's view of the engines, whether or not this daemon
@@ -139,7 +142,7 @@
   std::set<std::uint64_t>
     acceptedReports; // windows whose reports the cloud accepted
   std::set<std::uint64_t> withheldReports; // windows that are not reported
-  bool firstOfEra = false;    // no record of this era precedes its claim
+  EraStart eraStart;
   bool heldBeforeEra = false; // it held the duties when the era changed
 };
 
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -78,6 +78,7 @@
     co_await this->ScaleEngines();
   }
   if (this->state.settings.reportsUsage && this->HoldsDuties()) {
+    co_await this->eraStart.Learn();
     co_await this->ReportUsage();
   }
   if (this->HoldsDuties()) {
@@ -136,22 +137,43 @@
 bool
 DutyRunner::MayAddUp(std::uint64_t aWindow)
 {
-  const TimePoint now = ServingState::Now();
-  const Millis age(this->state.ClusterTimeMs() -
-                   this->state.usage.WindowEnd(aWindow) - kReportDelay.count());
-  const UsageHistory history{ this->state.startedAt,
-                              this->state.storeEraSince,
-                              this->firstOfEra };
+  const TimePoint endedAt{ this->state.usage.WindowEnd(aWindow) };
+  const WindowTimes window{ endedAt, endedAt + kReportDelay };
+  const UsageHistory history = this->KnownUsageHistory();
   const AddUpDecision decision =
-    ReportedUsage::MayAddUp(history, now - age, now);
+    ReportedUsage::MayAddUp(history, window, this->state.ClusterNow());
   const bool isNews = decision == AddUpDecision::eNever &&
                       this->withheldReports.insert(aWindow).second;
   if (isNews) {
-    this->state.log.Emit(Event("usage.withheld").With("window", aWindow));
+    this->state.log.Emit(
+      Event("usage.withheld")
+        .With("window", aWindow)
+        .With("ended", endedAt.ms)
+        .With("era_seen", history.eraSeenAt.ms)
+        .With("era_begun_by", history.eraBegunBy.value_or(TimePoint{}).ms)
+        .With("remembered_since",
+              history.rememberedSince.value_or(TimePoint{}).ms));
   }
   return decision == AddUpDecision::eYes;
 }
 
+UsageHistory
+DutyRunner::KnownUsageHistory() const
+{
+  const TimePoint eraSeenAt = this->state.eraSeenAt;
+  std::optional<TimePoint> remembered =
+    this->state.peers.ReportsRememberedSince(
+      eraSeenAt + ReportedUsage::kDeliveryTime, ServingState::Now());
+  if (this->state.firstEraSeenAt) {
+    const TimePoint own =
+      this->state.ToClusterTime(*this->state.firstEraSeenAt);
+    remembered = std::min(remembered.value_or(own), own);
+  }
+  return UsageHistory{ this->state.ToClusterTime(eraSeenAt),
+                       this->eraStart.BegunBy(),
+                       remembered };
+}
+
 serving::UsageReport
 DutyRunner::AddUp(std::uint64_t aWindow) const
 {
--- a/src/serve/PeerReceive.cpp
+++ b/src/serve/PeerReceive.cpp
@@ -74,7 +74,7 @@
     this->HandleHeartbeat(aDatagram.word());
   }
   if (aDatagram.has_ledger()) {
-    this->state.peers.ReceiveLedger(aDatagram.ledger());
+    this->state.peers.ReceiveLedger(aDatagram.ledger(), ServingState::Now());
   }
   for (const auto& report : aDatagram.ledger().reported()) {
     this->state.reportedUsage.Remember(report);
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -164,6 +164,10 @@
   ledger.set_id(aState.settings.id.value);
   ledger.set_life(aState.incarnation);
   ledger.set_open_window(aState.usage.WindowAt(aState.ClusterTimeMs()));
+  if (aState.firstEraSeenAt) {
+    ledger.set_remembers_since_ms(
+      aState.ToClusterTime(*aState.firstEraSeenAt).ms);
+  }
   return ledger;
 }
 
--- a/src/serve/ServingState.cpp
+++ b/src/serve/ServingState.cpp
@@ -19,6 +19,7 @@
   , wire(std::move(aWire))
   , incarnation(aIncarnation)
   , startedAt(Now())
+  , eraSeenAt(startedAt)
   , log(settings.id.value, [] { return TimePoint{ WallMs() }; })
   , loopLag(kTickInterval)
   , retries(
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -77,6 +77,11 @@
   }
   /** The same in milliseconds. */
   [[nodiscard]] std::int64_t ClusterTimeMs() const;
+  /** The cluster time of a moment of the steady clock. */
+  [[nodiscard]] TimePoint ToClusterTime(TimePoint aSteady) const
+  {
+    return this->ClusterNow() - (Now() - aSteady);
+  }
   /** Whether requests can be served: the configuration and the back ends have
    * been read, and the daemon has not been asked to stop. */
   [[nodiscard]] bool Ready() const;
@@ -129,7 +134,11 @@
   TopicFreshness operatorFreshness;
   /** The store's latest era that is known here; nothing before the first. */
   std::optional<StoreEra> storeEra;
-  TimePoint storeEraSince;   // when it replaced another one here; 0: never
+  TimePoint storeEraSince; // when it replaced another one here; 0: never
+  TimePoint eraSeenAt;     // when it was known here first
+  /** When this process first knew any era: since then it has been in touch with
+   * the store or with other daemons. */
+  std::optional<TimePoint> firstEraSeenAt;
   StorePosition operatorEnd; // end of the operators' topic, as read here
   /** The list here is the one of this position in its topic; 0: unknown. */
   StorePosition listEnd;
--- a/src/serve/StoreClient.cpp
+++ b/src/serve/StoreClient.cpp
@@ -66,6 +66,8 @@
       return "duties";
     case StoreTopic::eBlocked:
       return "blocked";
+    case StoreTopic::eEra:
+      return "era";
   }
   return "unknown";
 }
@@ -78,10 +80,12 @@
     return;
   }
   aState.storeEra = aEra;
+  aState.eraSeenAt = ServingState::Now();
   if (!known) {
+    aState.firstEraSeenAt = aState.eraSeenAt;
     return;
   }
-  aState.storeEraSince = ServingState::Now();
+  aState.storeEraSince = aState.eraSeenAt;
   aState.metrics.Count("toucanshed_store_eras_total");
   aState.log.Emit(Event("store.era")
                     .With("old", known->value)
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -113,6 +113,7 @@
   eMembers, // the daemons' addresses; this system's own topic
   eDuties,  // duty claims and holders' decisions; this system's own
   eBlocked, // what crashes back ends; this system's own
+  eEra,     // when the store's present era began; this system's own
 };
 
 /** The store's protocol. The caller of these hooks sends the requests and
--- a/test/DutySimulation.cpp
+++ b/test/DutySimulation.cpp
@@ -31,9 +31,11 @@
 DutySimulation::StartDaemon(std::size_t aDaemon)
 {
   Daemon& daemon = this->daemons[aDaemon];
+  this->endedLives.emplace_back(daemon.startedAt, this->now);
   daemon = Daemon{};
   daemon.startedAt = this->now;
   daemon.era = this->era;
+  daemon.eraSeenAt = this->now;
   daemon.log.StartEra(this->era);
   daemon.nextPoll =
     this->now + Millis(1 + this->random.NextBelow(static_cast<std::uint64_t>(
@@ -44,6 +46,7 @@
 DutySimulation::Restore()
 {
   this->records = this->copy;
+  this->eraRecord = this->eraRecordCopy;
   ++this->era.value;
 }
 
@@ -58,6 +61,42 @@
   this->Claim(this->random.NextBelow(this->daemons.size()));
 }
 
+void
+DutySimulation::KillHolderForNewProcess()
+{
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].fence.value != 0) {
+      this->StartDaemon(i);
+      this->Claim(i);
+      return;
+    }
+  }
+}
+
+void
+DutySimulation::ClaimAgain()
+{
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].fence.value != 0) {
+      this->Claim(i);
+      return;
+    }
+  }
+}
+
+void
+DutySimulation::StopAll(Millis aDuration)
+{
+  for (const Daemon& daemon : this->daemons) {
+    this->endedLives.emplace_back(daemon.startedAt, this->now);
+  }
+  this->now = this->now + aDuration;
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    this->daemons[i].startedAt = this->now;
+    this->StartDaemon(i);
+  }
+}
+
 void
 DutySimulation::KillAll()
 {
@@ -105,7 +144,8 @@
     return;
   }
   aDaemon.era = aEra;
-  aDaemon.eraSince = this->now;
+  aDaemon.eraSeenAt = this->now;
+  aDaemon.eraBegunBy.reset();
   aDaemon.fence = FencingToken{};
   aDaemon.log.StartEra(aEra);
 }
@@ -153,15 +193,38 @@
 {
   Daemon& daemon = this->daemons[aDaemon];
   this->CatchUp(daemon);
-  const bool isFirst = !daemon.log.HasCurrentRecords();
   serving::DutyRecord claim;
   if (this->Append(aDaemon, claim)) {
     daemon.fence = daemon.log.Claim()->fence;
-    daemon.firstOfEra = isFirst;
     daemon.accepted.clear();
   }
 }
 
+void
+DutySimulation::LearnEraStart(Daemon& aDaemon)
+{
+  const bool isCurrent = this->eraRecord && this->eraRecord->era == this->era;
+  if (!isCurrent) {
+    this->eraRecord = EraRecord{ this->era, aDaemon.eraSeenAt };
+  }
+  aDaemon.eraBegunBy = this->eraRecord->begunBy;
+}
+
+UsageHistory
+DutySimulation::HistoryOf(const Daemon& aDaemon) const
+{
+  TimePoint remembered = aDaemon.startedAt;
+  for (const auto& [sender, ledger] : aDaemon.ledgers) {
+    const bool counts =
+      ledger.life == this->daemons[sender].startedAt &&
+      ledger.receivedAt >= aDaemon.eraSeenAt + ReportedUsage::kDeliveryTime;
+    if (counts) {
+      remembered = std::min(remembered, ledger.remembersSince);
+    }
+  }
+  return UsageHistory{ aDaemon.eraSeenAt, aDaemon.eraBegunBy, remembered };
+}
+
 void
 DutySimulation::CallCloud(std::size_t aDaemon,
                           const serving::UsageReport& aReport)
@@ -182,6 +245,9 @@
 DutySimulation::Report(std::size_t aDaemon)
 {
   Daemon& daemon = this->daemons[aDaemon];
+  if (daemon.era == this->era && !daemon.eraBegunBy) {
+    this->LearnEraStart(daemon);
+  }
   const auto current = static_cast<std::uint64_t>(this->now.ms / kWindowMs);
   for (std::uint64_t window = current - 3; window < current; ++window) {
     const std::int64_t end = static_cast<std::int64_t>(window + 1) * kWindowMs;
@@ -194,11 +260,10 @@
     }
     if (!daemon.log.UsageReports().contains(window)) {
       const serving::UsageReport* known = daemon.reported.Find(window);
-      const UsageHistory history{ daemon.startedAt,
-                                  daemon.eraSince,
-                                  daemon.firstOfEra };
-      const AddUpDecision decision = ReportedUsage::MayAddUp(
-        history, TimePoint{ end + kReportDelayMs }, this->now);
+      const WindowTimes times{ TimePoint{ end },
+                               TimePoint{ end + kReportDelayMs } };
+      const AddUpDecision decision =
+        ReportedUsage::MayAddUp(this->HistoryOf(daemon), times, this->now);
       if (known == nullptr && decision != AddUpDecision::eYes) {
         if (decision == AddUpDecision::eNever) {
           this->withheld.insert(window);
@@ -249,6 +314,12 @@
 {
   const std::size_t receivers =
     std::min<std::size_t>(kCandidates, this->daemons.size());
+  const TimePoint life = this->daemons[aDaemon].startedAt;
+  for (std::size_t to = 0; to < receivers; ++to) {
+    this->Send(aDaemon, to, [this, aDaemon, life](Daemon& aTo) {
+      aTo.ledgers[aDaemon] = Ledger{ life, this->now, life };
+    });
+  }
   for (const auto& known : this->daemons[aDaemon].reported.All()) {
     const serving::UsageReport report = known.second;
     const bool isRecent =
@@ -309,6 +380,29 @@
     }));
 }
 
+std::size_t
+DutySimulation::MissingWindows() const
+{
+  auto lives = this->endedLives;
+  for (const Daemon& daemon : this->daemons) {
+    lives.emplace_back(daemon.startedAt, this->now);
+  }
+  const auto first = static_cast<std::uint64_t>(kStart.ms / kWindowMs) + 1;
+  std::size_t missing = 0;
+  for (auto window = first;; ++window) {
+    const TimePoint begins{ static_cast<std::int64_t>(window) * kWindowMs };
+    const TimePoint due = begins + Millis(kWindowMs + kReportDeadlineMs);
+    if (due > this->now) {
+      return missing;
+    }
+    const bool wasCounted =
+      std::any_of(lives.begin(), lives.end(), [&](const auto& aLife) {
+        return aLife.first <= begins && aLife.second >= due;
+      });
+    missing += wasCounted && !this->cloud.contains(window) ? 1 : 0;
+  }
+}
+
 std::size_t
 DutySimulation::SharedFences() const
 {
--- a/test/correctness/PeerTableTest.cpp
+++ b/test/correctness/PeerTableTest.cpp
@@ -82,7 +82,7 @@
   backend->set_id(kEngine.value);
   backend->set_running(3);
   peers.ReceiveHeartbeat(heartbeat, now);
-  peers.ReceiveLedger(MakeLedger("other", 1, 4));
+  peers.ReceiveLedger(MakeLedger("other", 1, 4), now);
   const TimePoint later = now + PeerTable::kPeerTimeout + Millis(1);
   CHECK(peers.Loads(later).empty());
   CHECK(peers.LiveDaemons(later) == 1);
@@ -90,28 +90,48 @@
 
   // It returns as another incarnation; the counts of the first one remain.
   peers.ReceiveHeartbeat(MakeHeartbeat("other", 2, 1), later);
-  peers.ReceiveLedger(MakeLedger("other", 2, 2));
+  peers.ReceiveLedger(MakeLedger("other", 2, 2), now);
   CHECK(peers.Usage(7).at(TeamId{ "team-one" }) == 6);
   // A late report of the first incarnation adds nothing.
-  peers.ReceiveLedger(MakeLedger("other", 1, 4));
+  peers.ReceiveLedger(MakeLedger("other", 1, 4), now);
   CHECK(peers.Usage(7).at(TeamId{ "team-one" }) == 6);
 }
 
+// Guards against a daemon that counts as one that knows of earlier reports
+// though it has started again, has timed out or spoke too early.
+TEST_CASE("only what live daemons say now tells since when they know reports")
+{
+  PeerTable peers(DaemonId{ "self" });
+  const TimePoint now{ 100000 };
+  peers.ReceiveHeartbeat(MakeHeartbeat("other", 1, 1), now);
+  peers.ReceiveLedger(MakeLedger("other", 1, 4), now);
+  CHECK_FALSE(peers.ReportsRememberedSince(now, now));
+  serving::UsageLedger ledger = MakeLedger("other", 1, 4);
+  ledger.set_remembers_since_ms(70000);
+  peers.ReceiveLedger(ledger, now);
+  CHECK(peers.ReportsRememberedSince(now, now) == TimePoint{ 70000 });
+  CHECK_FALSE(peers.ReportsRememberedSince(now + Millis(1), now));
+  const TimePoint later = now + PeerTable::kPeerTimeout + Millis(1);
+  CHECK_FALSE(peers.ReportsRememberedSince(now, later));
+  peers.ReceiveHeartbeat(MakeHeartbeat("other", 2, 1), now);
+  CHECK_FALSE(peers.ReportsRememberedSince(now, now));
+}
+
 TEST_CASE("a window's counts are pending until it is closed")
 {
   PeerTable peers(DaemonId{ "self" });
   const TimePoint now{ 1000 };
   peers.ReceiveHeartbeat(MakeHeartbeat("other", 1, 1), now);
   CHECK(peers.PendingDaemons(7, now).size() == 1);
-  peers.ReceiveLedger(MakeLedger("other", 1, 4)); // window 7 is still open
+  peers.ReceiveLedger(MakeLedger("other", 1, 4), now); // window 7 is still open
   CHECK(peers.PendingDaemons(7, now).size() == 1);
   serving::UsageLedger closed = MakeLedger("other", 1, 9);
   closed.set_open_window(8);
-  peers.ReceiveLedger(closed);
+  peers.ReceiveLedger(closed, now);
   CHECK(peers.PendingDaemons(7, now).empty());
   CHECK(peers.Usage(7).at(TeamId{ "team-one" }) == 9);
   // A report that arrives out of order changes nothing.
-  peers.ReceiveLedger(MakeLedger("other", 1, 4));
+  peers.ReceiveLedger(MakeLedger("other", 1, 4), now);
   CHECK(peers.Usage(7).at(TeamId{ "team-one" }) == 9);
   CHECK(peers.PendingDaemons(7, now).empty());
 
--- a/test/failure/DutyTest.cpp
+++ b/test/failure/DutyTest.cpp
@@ -98,7 +98,7 @@
     entry->set_window(aWindow);
     entry->set_team("team-one");
     entry->set_count(7);
-    aHarness.state->peers.ReceiveLedger(ledger);
+    aHarness.state->peers.ReceiveLedger(ledger, ServingState::Now());
     co_await Sleep(Millis(800));
   }(harness, runner, window));
   std::size_t complete = 0;
--- a/test/failure/StoreRestoreTest.cpp
+++ b/test/failure/StoreRestoreTest.cpp
@@ -38,6 +38,32 @@
   }
 }
 
+/** Makes the daemon one that has just started: it has seen no era, no report
+ * and no count. */
+void
+RestartProcess(ServingState& aState)
+{
+  aState.startedAt = ServingState::Now();
+  aState.eraSeenAt = aState.startedAt;
+  aState.firstEraSeenAt.reset();
+  aState.storeEra.reset();
+  aState.storeEraSince = TimePoint{};
+  aState.reportedUsage = ReportedUsage();
+  aState.usage = UsageWindows(aState.settings.bounds.usageWindow);
+  aState.dutyFence = FencingToken{};
+  aState.stopping = false;
+  ++aState.incarnation;
+}
+
+/** Waits until the cloud has accepted more reports than aCount, at most 6 s. */
+Task<void>
+AwaitReports(const PlatformHarness& aHarness, std::size_t aCount)
+{
+  for (int i = 0; i < 600 && aHarness.cloud.accepted.size() <= aCount; ++i) {
+    co_await Sleep(std::chrono::milliseconds(10));
+  }
+}
+
 } // namespace
 
 // Guards against a daemon that takes its copy of the configuration to be
@@ -226,4 +252,53 @@
   }
 }
 
+// Guards against a later holder of a new era that reports a window again since
+// it started after the store went back and knows of no report.
+TEST_CASE("the second holder after a restore reports no window again")
+{
+  PlatformHarness harness(24420);
+  ServingState& first = *harness.state;
+  ServingState& second = harness.AddPeerDaemon();
+  DutyRunner runner(first);
+  DutyRunner nextRunner(second);
+  DutyRunner lastRunner(first);
+  for (int i = 0; i < 5; ++i) {
+    first.usage.Count(TeamId{ "team-one" }, first.ClusterTimeMs());
+  }
+  std::size_t reportedLate = 0;
+  harness.Run([](PlatformHarness& aHarness,
+                 ServingState& aSecond,
+                 DutyRunner& aRunner,
+                 DutyRunner& aNextRunner,
+                 DutyRunner& aLastRunner,
+                 std::size_t& aReportedLate) -> Task<void> {
+    ServingState& first = *aHarness.state;
+    aHarness.store.TakeCopy();
+    first.pool.First().Spawn(aRunner.Run());
+    co_await AwaitReports(aHarness, 1);
+    aHarness.store.Restore();
+    first.stopping = true;
+    co_await Sleep(std::chrono::milliseconds(300));
+    RestartProcess(first);
+    RestartProcess(aSecond);
+    aSecond.pool.First().Spawn(aNextRunner.Run());
+    for (int i = 0; i < 600 && aSecond.dutyFence.value == 0; ++i) {
+      co_await Sleep(std::chrono::milliseconds(10));
+    }
+    co_await Sleep(std::chrono::milliseconds(300));
+    aSecond.stopping = true;
+    co_await Sleep(std::chrono::milliseconds(300));
+    RestartProcess(first);
+    const std::size_t before = aHarness.cloud.accepted.size();
+    first.pool.First().Spawn(aLastRunner.Run());
+    co_await AwaitReports(aHarness, before + 1);
+    aReportedLate = aHarness.cloud.accepted.size() - before;
+  }(harness, second, runner, nextRunner, lastRunner, reportedLate));
+  CHECK(first.dutyFence.value > second.dutyFence.value);
+  CHECK(reportedLate > 0);
+  for (const auto& [window, bodies] : ReportsByWindow(harness.cloud)) {
+    CHECK(bodies.size() == 1);
+  }
+}
+
 } // namespace toucanshed::test
