Rollouts: requests that still run are evidence, and too little of it ends none

Cause: a request counted as evidence when it ended, and the requests of a slow version end last, so at the decision mostly its fastest had been seen. And a rollout was completed on any evidence at all: three responses on three routes could not have made the verdict doubtful whatever they were like.

Change: requests count from when they are sent. One without a first token counts as slow once it has taken longer than the old version's quantile; a stream by its mean token gap so far; both versions alike. Routes are also tested together, by the product of their likelihood ratios.

Not taken: a minimum number of responses, which says nothing about routes.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -20,6 +20,9 @@
 namespace toucanshed::bench {
 namespace {
 
+/** When the evidence is read; it has no requests that still run. */
+const TimePoint kNow{ 1000 };
+
 using Clock = std::chrono::steady_clock;
 
 double
@@ -261,7 +264,7 @@
                       observation);
       }
       for (const peer::Evidence& evidence :
-           table.LocalEvidence(Position{ 1 })) {
+           table.LocalEvidence(Position{ 1 }, kNow)) {
         bytes += static_cast<double>(evidence.ByteSizeLong());
         owner.Merge(evidence);
       }
@@ -277,8 +280,8 @@
     const auto start = Clock::now();
     constexpr int kRounds = 200;
     for (int i = 0; i < kRounds; ++i) {
-      CompareVersions(owner.Sum(Position{ 1 }, VersionId{ "v1" }),
-                      owner.Sum(Position{ 1 }, VersionId{ "v2" }),
+      CompareVersions(owner.Sum(Position{ 1 }, VersionId{ "v1" }, kNow),
+                      owner.Sum(Position{ 1 }, VersionId{ "v2" }, kNow),
                       {});
     }
     PrintResult("evidence",
--- a/src/coord/Evidence.cpp
+++ b/src/coord/Evidence.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+/** A stream's mean token gap counts while it runs from this many events on. */
+constexpr std::uint64_t kMinEvents = 3;
+
+double
+InMillis(Millis aTime)
+{
+  return static_cast<double>(aTime.count());
+}
+
 void
 CopyHistogram(const google::protobuf::RepeatedField<std::uint64_t>& aFrom,
               LatencyHistogram& aTo)
@@ -39,6 +48,7 @@
   for (std::size_t i = 0; i < kLatencyBucketCount; ++i) {
     this->firstToken.at(i) += aOther.firstToken.at(i);
     this->tokenGap.at(i) += aOther.tokenGap.at(i);
+    this->unanswered.at(i) += aOther.unanswered.at(i);
   }
   return *this;
 }
@@ -55,7 +65,7 @@
                        const Observation& aObservation)
 {
   Tally& tally =
-    this->tallies[Key{ aRollout, aVersion, aStratum, this->daemonId }];
+    this->tallies[Key{ aRollout, aVersion, aStratum, this->daemonId }].tally;
   ++tally.requests;
   tally.errors += aObservation.error ? 1 : 0;
   if (aObservation.firstTokenMs >= 0) {
@@ -66,6 +76,94 @@
   }
 }
 
+ObservedRequest
+EvidenceTable::Start(Position aRollout,
+                     const VersionId& aVersion,
+                     const Stratum& aStratum,
+                     TimePoint aNow)
+{
+  ++this->lastRequest.value;
+  const Key key{ aRollout, aVersion, aStratum, this->daemonId };
+  this->tallies.try_emplace(key);
+  this->running.emplace(this->lastRequest, Running{ key, aNow });
+  return this->lastRequest;
+}
+
+void
+EvidenceTable::RecordFirstToken(ObservedRequest aRequest, TimePoint aNow)
+{
+  const auto found = this->running.find(aRequest);
+  if (found == this->running.end() || found->second.firstTokenAt) {
+    return;
+  }
+  found->second.firstTokenAt = aNow;
+  Tally& tally = this->tallies[found->second.key].tally;
+  ++tally.firstToken.at(BucketOf(InMillis(aNow - found->second.sentAt)));
+}
+
+void
+EvidenceTable::RecordEvents(ObservedRequest aRequest, std::uint64_t aEvents)
+{
+  const auto found = this->running.find(aRequest);
+  if (found != this->running.end()) {
+    found->second.events = aEvents;
+  }
+}
+
+void
+EvidenceTable::Stop(ObservedRequest aRequest, bool aWasSent, TimePoint aNow)
+{
+  const auto found = this->running.find(aRequest);
+  if (found == this->running.end()) {
+    return;
+  }
+  if (aWasSent && !found->second.firstTokenAt) {
+    found->second.AddTo(this->tallies[found->second.key].tally, aNow);
+  }
+  this->running.erase(found);
+}
+
+void
+EvidenceTable::Running::AddTo(Tally& aTally, TimePoint aNow) const
+{
+  if (!this->firstTokenAt) {
+    ++aTally.unanswered.at(BucketOf(InMillis(aNow - this->sentAt)));
+    return;
+  }
+  if (this->events >= kMinEvents) {
+    const double gap =
+      InMillis(aNow - *this->firstTokenAt) / static_cast<double>(this->events);
+    ++aTally.tokenGap.at(BucketOf(gap));
+  }
+}
+
+Tally
+EvidenceTable::WithRunning(const Key& aKey, Tally aTally, TimePoint aNow) const
+{
+  for (const auto& [number, request] : this->running) {
+    if (request.key == aKey) {
+      request.AddTo(aTally, aNow);
+    }
+  }
+  return aTally;
+}
+
+Tally
+EvidenceTable::RunningTally(Position aRollout,
+                            const VersionId& aVersion,
+                            TimePoint aNow) const
+{
+  Tally tally;
+  for (const auto& [number, request] : this->running) {
+    const bool counts =
+      request.key.rollout == aRollout && request.key.version == aVersion;
+    if (counts) {
+      request.AddTo(tally, aNow);
+    }
+  }
+  return tally;
+}
+
 void
 EvidenceTable::Merge(const peer::Evidence& aEvidence)
 {
@@ -77,18 +175,23 @@
   tally.errors = aEvidence.errors();
   CopyHistogram(aEvidence.first_token(), tally.firstToken);
   CopyHistogram(aEvidence.token_gap(), tally.tokenGap);
-  Tally& stored =
+  CopyHistogram(aEvidence.unanswered(), tally.unanswered);
+  Counted& stored =
     this->tallies[Key{ Position{ aEvidence.move() },
                        VersionId{ aEvidence.version() },
                        Stratum{ aEvidence.step(), aEvidence.route() },
                        aEvidence.daemon() }];
-  if (tally.requests > stored.requests) {
-    stored = tally;
+  // Daemons of earlier builds state no revision.
+  const bool hasMore = tally.requests > stored.tally.requests;
+  const bool isLater = aEvidence.revision() > stored.revision ||
+                       (aEvidence.revision() == stored.revision && hasMore);
+  if (isLater) {
+    stored = Counted{ tally, aEvidence.revision() };
   }
 }
 
 std::vector<peer::Evidence>
-EvidenceTable::LocalEvidence(Position aRollout) const
+EvidenceTable::LocalEvidence(Position aRollout, TimePoint aNow) const
 {
   std::vector<peer::Evidence> reports;
   for (auto entry = this->tallies.lower_bound(Key{ aRollout, {}, {}, {} });
@@ -97,23 +200,29 @@
     if (entry->first.daemon != this->daemonId) {
       continue;
     }
+    const Tally tally =
+      this->WithRunning(entry->first, entry->second.tally, aNow);
     peer::Evidence evidence;
     evidence.set_daemon(this->daemonId);
     evidence.set_move(aRollout.value);
     evidence.set_version(entry->first.version.value);
     evidence.set_route(entry->first.stratum.route);
     evidence.set_step(entry->first.stratum.step);
-    evidence.set_requests(entry->second.requests);
-    evidence.set_errors(entry->second.errors);
-    CopyHistogram(entry->second.firstToken, *evidence.mutable_first_token());
-    CopyHistogram(entry->second.tokenGap, *evidence.mutable_token_gap());
+    evidence.set_requests(tally.requests);
+    evidence.set_errors(tally.errors);
+    CopyHistogram(tally.firstToken, *evidence.mutable_first_token());
+    CopyHistogram(tally.tokenGap, *evidence.mutable_token_gap());
+    CopyHistogram(tally.unanswered, *evidence.mutable_unanswered());
+    evidence.set_revision(static_cast<std::uint64_t>(aNow.ms));
     reports.push_back(std::move(evidence));
   }
   return reports;
 }
 
 StratumTallies
-EvidenceTable::Sum(Position aRollout, const VersionId& aVersion) const
+EvidenceTable::Sum(Position aRollout,
+                   const VersionId& aVersion,
+                   TimePoint aNow) const
 {
   StratumTallies sum;
   for (auto entry =
@@ -121,7 +230,8 @@
        entry != this->tallies.end() && entry->first.rollout == aRollout &&
        entry->first.version == aVersion;
        ++entry) {
-    sum[entry->first.stratum] += entry->second;
+    sum[entry->first.stratum] +=
+      this->WithRunning(entry->first, entry->second.tally, aNow);
   }
   return sum;
 }
@@ -129,15 +239,19 @@
 void
 EvidenceTable::Rename(Position aFrom, Position aTo)
 {
-  std::map<Key, Tally> renamed;
-  for (auto& [key, tally] : this->tallies) {
+  std::map<Key, Counted> renamed;
+  for (auto& [key, counted] : this->tallies) {
     Key to = key;
     to.rollout = key.rollout == aFrom ? aTo : key.rollout;
-    Tally& known = renamed[std::move(to)];
-    if (tally.requests > known.requests) {
-      known = tally;
+    const auto [known, isNew] = renamed.try_emplace(std::move(to), counted);
+    if (!isNew && counted.tally.requests > known->second.tally.requests) {
+      known->second = counted;
     }
   }
+  for (auto& [number, request] : this->running) {
+    request.key.rollout =
+      request.key.rollout == aFrom ? aTo : request.key.rollout;
+  }
   this->tallies = std::move(renamed);
 }
 
@@ -147,6 +261,9 @@
   std::erase_if(this->tallies, [&](const auto& aEntry) {
     return aEntry.first.rollout == aRollout;
   });
+  std::erase_if(this->running, [&](const auto& aEntry) {
+    return aEntry.second.key.rollout == aRollout;
+  });
 }
 
 } // namespace toucanshed
--- a/src/coord/Evidence.h
+++ b/src/coord/Evidence.h
@@ -6,10 +6,13 @@
 #pragma once
 
 #include "LatencyBuckets.h"
+#include "base/StrongNumber.h"
 #include "base/Types.h"
 #include "peer.pb.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,11 +25,16 @@
   std::uint64_t errors = 0;
   LatencyHistogram firstToken{};
   LatencyHistogram tokenGap{};
+  /** Requests without a first token, by the time that they have taken so far.
+   * Their latency is larger than that. */
+  LatencyHistogram unanswered{};
 
   Tally& operator+=(const Tally& aOther);
+  bool operator==(const Tally&) const = default;
 };
 
-/** The observation of one request. A negative latency was not observed. */
+/** The observation of one request that has ended. A negative latency was not
+ * observed, or was recorded before. */
 struct Observation
 {
   bool error = false;
@@ -34,6 +42,9 @@
   double meanGapMs = -1;
 };
 
+/** Number of a request of this daemon that is observed while it runs. */
+using ObservedRequest = StrongNumber<struct ObservedRequestTag>;
+
 /** A set of comparable requests: those of one route within one step of a
  * rollout. Within a step the traffic shares are constant, so the requests of
  * both versions are concurrent. Over several steps they are not: a load peak
@@ -55,6 +66,11 @@
  * later total of a daemon replaces an earlier one, so repeated, late or
  * reordered messages have no effect.
  *
+ * Requests count from when they are sent, not only when they end: the slow
+ * requests of a slow version end last. Both versions' requests that run count
+ * in the same way: one without a first token by the time that it has taken, a
+ * stream by its mean token gap so far.
+ *
  * Thread safety: none; the owner serialises.
  */
 class EvidenceTable
@@ -69,16 +85,36 @@
                const VersionId& aVersion,
                const Stratum& aStratum,
                const Observation& aObservation);
+  /** A request of this daemon was sent. It counts as one that runs until Stop.
+   */
+  ObservedRequest Start(Position aRollout,
+                        const VersionId& aVersion,
+                        const Stratum& aStratum,
+                        TimePoint aNow);
+  /** The response has begun; no effect when the request is not observed. */
+  void RecordFirstToken(ObservedRequest aRequest, TimePoint aNow);
+  /** The response has this many events so far; no effect when the request is
+   * not observed. */
+  void RecordEvents(ObservedRequest aRequest, std::uint64_t aEvents);
+  /** The request has ended; no effect when it is not observed.
+   * \param aWasSent whether it counts as unanswered for good if its response
+   *   has not begun */
+  void Stop(ObservedRequest aRequest, bool aWasSent, TimePoint aNow);
   /** Stores the totals of another daemon if they are later than the known ones;
    * ignores those of this daemon. */
   void Merge(const peer::Evidence& aEvidence);
 
   /** Returns this daemon's own counts of a rollout. */
-  [[nodiscard]] std::vector<peer::Evidence> LocalEvidence(
-    Position aRollout) const;
+  [[nodiscard]] std::vector<peer::Evidence> LocalEvidence(Position aRollout,
+                                                          TimePoint aNow) const;
   /** Returns the counts of all daemons of a version in a rollout. */
   [[nodiscard]] StratumTallies Sum(Position aRollout,
-                                   const VersionId& aVersion) const;
+                                   const VersionId& aVersion,
+                                   TimePoint aNow) const;
+  /** Returns what this daemon's requests to a version show that still run. */
+  [[nodiscard]] Tally RunningTally(Position aRollout,
+                                   const VersionId& aVersion,
+                                   TimePoint aNow) const;
   /** A rollout is known by another identity from now on. */
   void Rename(Position aFrom, Position aTo);
   /** Removes a rollout that has ended. */
@@ -95,8 +131,32 @@
     auto operator<=>(const Key&) const = default;
   };
 
+  /** A request of this daemon that has not ended. */
+  struct Running
+  {
+    /** Adds what it shows so far. */
+    void AddTo(Tally& aTally, TimePoint aNow) const;
+
+    Key key;
+    TimePoint sentAt;
+    std::optional<TimePoint> firstTokenAt;
+    std::uint64_t events = 0;
+  };
+  struct Counted
+  {
+    Tally tally;
+    std::uint64_t revision = 0; // of the report; 0 for this daemon's own
+  };
+
+  /** This daemon's own counts, with the requests that run. */
+  [[nodiscard]] Tally WithRunning(const Key& aKey,
+                                  Tally aTally,
+                                  TimePoint aNow) const;
+
   std::string daemonId;
-  std::map<Key, Tally> tallies;
+  std::map<Key, Counted> tallies;
+  std::map<ObservedRequest, Running> running;
+  ObservedRequest lastRequest;
 };
 
 } // namespace toucanshed
--- a/src/coord/Rollouts.cpp
+++ b/src/coord/Rollouts.cpp
@@ -287,6 +287,9 @@
   const RolloutReadiness& readiness = *aRollout.readiness;
   const double engines =
     std::max(1.0, readiness.newEngines + readiness.oldEngines);
+  if (!readiness.conclusive) {
+    return kProbeShare;
+  }
   const double share = readiness.newEngines / engines;
   if (!readiness.CanServeAll()) {
     return share;
@@ -347,6 +350,10 @@
   if (aNow >= this->PlannedDecision(aRollout) && aVerdict.requests == 0) {
     return RolloutPhase::eRolledBack;
   }
+  if (!aVerdict.conclusive) {
+    const bool mustEnd = aNow >= aRollout.Deadline() + kMaxWait;
+    return mustEnd ? std::optional(RolloutPhase::eRolledBack) : std::nullopt;
+  }
   if (aNow < this->DecisionTime(aRollout)) {
     return std::nullopt;
   }
@@ -354,9 +361,9 @@
 }
 
 bool
-Rollouts::IsWaitingForEngines(const Rollout& aRollout,
-                              const VersionVerdict& aVerdict,
-                              TimePoint aNow) const
+Rollouts::IsWaiting(const Rollout& aRollout,
+                    const VersionVerdict& aVerdict,
+                    TimePoint aNow) const
 {
   return aRollout.phase == RolloutPhase::eActive &&
          aNow >= aRollout.Deadline() && !aRollout.CanServeAll() &&
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -23,12 +23,18 @@
   double oldEngines = 0;      // of the old version, not leaving
   double requiredEngines = 0; // with fewer, requests are rejected
   bool doubtful = false;      // the new version may be bad
+  bool conclusive = true;     // a bad version would be doubtful by now
 
-  /** Whether the new version can serve all traffic. */
-  [[nodiscard]] bool CanServeAll() const
+  /** Whether the new version has the engines to serve all traffic. */
+  [[nodiscard]] bool HasEngines() const
   {
     return this->newEngines > 0 && this->newEngines >= this->requiredEngines;
   }
+  /** Whether all traffic may go to the new version. */
+  [[nodiscard]] bool CanServeAll() const
+  {
+    return this->HasEngines() && this->conclusive;
+  }
 };
 
 /** How the rollout of an order ended; states that a version was rolled back for
@@ -101,7 +107,10 @@
  * have just been reclaimed, the rollout waits past its deadline. Meanwhile each
  * version gets a share of the traffic in proportion to its engines. The rollout
  * completes as soon as the new version can serve all traffic, and after
- * kMaxWait in any case: an operator's order may be late, but is never dropped.
+ * kMaxWait in any case: an operator's order may be late, but is never dropped
+ * for missing engines. It waits likewise, with kProbeShare, while so little was
+ * seen of the new version that a bad one would not show. If that is still so
+ * after kMaxWait, the version is rolled back.
  *
  * Any daemon may find a version bad, so one that does not receive what the
  * others know sends the new version nothing. How rollouts ended is remembered
@@ -128,7 +137,10 @@
   static constexpr Millis kOverdueRampUp{ 1500 };
   /** Time in which the old version of an overdue rollout drains. */
   static constexpr Millis kOverdueDrain{ 500 };
-  /** Maximum time that a rollout waits for engines after its deadline. */
+  /** Share of a new version after the deadline of a rollout that has seen too
+   * little of it. */
+  static constexpr double kProbeShare = 0.2;
+  /** Maximum time that a rollout waits after its deadline. */
   static constexpr Millis kMaxWait{ 30000 };
 
   /** Most ended rollouts that are remembered. */
@@ -193,10 +205,10 @@
     const VersionVerdict& aVerdict,
     TimePoint aNow) const;
   /** Whether the rollout is overdue only because the new version has too few
-   * engines. */
-  [[nodiscard]] bool IsWaitingForEngines(const Rollout& aRollout,
-                                         const VersionVerdict& aVerdict,
-                                         TimePoint aNow) const;
+   * engines, or too little was seen of it. */
+  [[nodiscard]] bool IsWaiting(const Rollout& aRollout,
+                               const VersionVerdict& aVerdict,
+                               TimePoint aNow) const;
 
 private:
   /** Returns the share of the requests that the new version gets. */
--- a/src/coord/VersionComparison.h
+++ b/src/coord/VersionComparison.h
@@ -16,6 +16,9 @@
   /** Not necessarily bad, but worse than chance often explains: the version
    * should not get more traffic. */
   bool doubtful = false;
+  /** A bad version would be doubtful by now: enough of its requests were
+   * observed on each route that gets many of the old version's. */
+  bool conclusive = false;
   std::string reason;         // symptom and route of the worst regression
   std::uint64_t requests = 0; // observed on the new version
 };
@@ -40,7 +43,9 @@
  * peak or a lost failure domain slows both, so neither counts against the new
  * version. Each step of the rollout and each route is tested separately: over
  * several steps the requests of the two versions are not concurrent, and a
- * fault on one route is hidden in the sum over all routes.
+ * fault on one route is hidden in the sum over all routes. Then all are tested
+ * together by the product of their ratios: a fault on all routes shows there
+ * when each route has had a few requests.
  *
  * Errors, slow first tokens and slow token gaps are each tested as a
  * proportion: that of the new version against that of the old version plus a
@@ -49,6 +54,9 @@
  * under the reference, so by Ville's inequality the test may be repeated after
  * every request.
  *
+ * A request that has run for longer than the old version's quantile without a
+ * first token counts as slow; one that has run for less counts as neither.
+ *
  * \code
  * const VersionVerdict verdict = CompareVersions(oldTallies, newTallies, {});
  * if (verdict.bad) { RollBack(verdict.reason); }
--- a/src/daemon/PeerExchange.cpp
+++ b/src/daemon/PeerExchange.cpp
@@ -165,7 +165,8 @@
   for (const RunningRollout& rollout : RunningRollouts(this->state)) {
     const auto localEvidence =
       this->state.evidence.WithLock([&](EvidenceTable& aEvidence) {
-        return aEvidence.LocalEvidence(rollout.state.rollout);
+        return aEvidence.LocalEvidence(rollout.state.rollout,
+                                       this->state.Now());
       });
     if (localEvidence.empty()) {
       continue;
--- a/src/daemon/RolloutDriver.cpp
+++ b/src/daemon/RolloutDriver.cpp
@@ -60,9 +60,10 @@
 {
   return aState.evidence.WithLock([&](EvidenceTable& aEvidence) {
     const Position rollout = aRollout.state.rollout;
-    return CompareVersions(aEvidence.Sum(rollout, aRollout.state.from),
-                           aEvidence.Sum(rollout, aRollout.state.to),
-                           VersionComparisonLimits{});
+    return CompareVersions(
+      aEvidence.Sum(rollout, aRollout.state.from, aState.Now()),
+      aEvidence.Sum(rollout, aRollout.state.to, aState.Now()),
+      VersionComparisonLimits{});
   });
 }
 
--- a/src/serve/DutyRollouts.cpp
+++ b/src/serve/DutyRollouts.cpp
@@ -64,8 +64,8 @@
 DutyRunner::ReportDelayedRollout(Rollout aRollout)
 {
   const VersionVerdict verdict = EvaluateRollout(this->state, aRollout);
-  const bool delayed = this->state.rollouts.IsWaitingForEngines(
-    aRollout, verdict, ServingState::Now());
+  const bool delayed =
+    this->state.rollouts.IsWaiting(aRollout, verdict, ServingState::Now());
   if (!delayed || this->reportedDelays.contains(aRollout.order.position)) {
     co_return;
   }
@@ -79,6 +79,7 @@
       .With("old_engines", static_cast<std::int64_t>(readiness.oldEngines))
       .With("needed_engines",
             static_cast<std::int64_t>(readiness.requiredEngines))
+      .With("conclusive", readiness.conclusive ? 1 : 0)
       .With("seen", verdict.requests));
   const bool written =
     co_await this->AppendRolloutStatus(aRollout.order, RolloutPhase::eActive);
--- a/src/serve/PeerMessenger.cpp
+++ b/src/serve/PeerMessenger.cpp
@@ -176,8 +176,8 @@
   this->evidenceSendPending = false;
   serving::Datagram datagram;
   for (const Rollout& rollout : this->state.rollouts.Active()) {
-    for (peer::Evidence& evidence :
-         this->state.evidence.LocalEvidence(rollout.order.position)) {
+    for (peer::Evidence& evidence : this->state.evidence.LocalEvidence(
+           rollout.order.position, ServingState::Now())) {
       if (evidence.version() == rollout.order.target.value) {
         *datagram.mutable_evidence()->add_evidence() = std::move(evidence);
       }
@@ -240,8 +240,8 @@
 {
   serving::Datagram batch;
   for (const Rollout& rollout : this->state.rollouts.Active()) {
-    for (peer::Evidence& evidence :
-         this->state.evidence.LocalEvidence(rollout.order.position)) {
+    for (peer::Evidence& evidence : this->state.evidence.LocalEvidence(
+           rollout.order.position, ServingState::Now())) {
       *batch.mutable_evidence()->add_evidence() = std::move(evidence);
       if (batch.ByteSizeLong() >= kEvidenceBatchBytes) {
         this->SendDatagram(batch, aCandidates);
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -37,6 +37,29 @@
 /** A sound back end may be unresponsive for a second or so. */
 constexpr Millis kMinAttemptTimeout = BackendTable::kMaxUnresponsiveTime;
 
+/** Ends the observation of a send whose coroutine is destroyed: it would count
+ * as unanswered for ever. */
+struct ObservationGuard
+{
+  ObservationGuard(EvidenceTable& aTable,
+                   const std::optional<ObservedRequest>& aRequest)
+    : table(aTable)
+    , request(aRequest)
+  {
+  }
+  ObservationGuard(const ObservationGuard&) = delete;
+  ObservationGuard& operator=(const ObservationGuard&) = delete;
+  ~ObservationGuard()
+  {
+    if (this->request) {
+      this->table.Stop(*this->request, false, ServingState::Now());
+    }
+  }
+
+  EvidenceTable& table;
+  const std::optional<ObservedRequest>& request;
+};
+
 } // namespace
 
 RequestForwarder::RequestForwarder(ServingState& aState,
@@ -412,6 +435,8 @@
                          this->HeldTokens(),
                          this->sentAt);
   this->RecordSentWork();
+  this->StartEvidence(aPlacement.backend);
+  const ObservationGuard observation{ this->state.evidence, this->observed };
   this->loadGuard = &guard;
   this->LeaveQueue(); // the next request sees the load of this one
   const std::string sharedSection =
@@ -457,6 +482,7 @@
     this->state.sendGate.RecordAccepted(this->ticket, ServingState::Now());
   }
   this->retryInFlight.reset();
+  this->StopEvidence(outcome);
   this->RecordPossibleRun(outcome);
   this->loadGuard = nullptr;
   if (outcome == SendOutcome::eMayHaveRun) {
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -11,6 +11,7 @@
 #include "coord/DeferralPolicy.h"
 #include "coord/EngineReach.h"
 #include "coord/EventSplitter.h"
+#include "coord/Evidence.h"
 #include "coord/Placement.h"
 #include "coord/RelayChoice.h"
 #include "coord/RetryInFlight.h"
@@ -202,6 +203,13 @@
   void RecordOutput(const Placement& aPlacement);
   /** Records the send as evidence about its back end's version. */
   void RecordEvidence(const InstanceId& aBackend, SendOutcome aOutcome);
+  /** Counts the current send as one that runs, if its version is new or is
+   * compared with a new one. */
+  void StartEvidence(const InstanceId& aBackend);
+  /** The current response has begun. */
+  void RecordFirstTokenEvidence(const InstanceId& aBackend, TimePoint aNow);
+  /** The current send has ended. */
+  void StopEvidence(SendOutcome aOutcome);
   SendOutcome ClassifyError(const CallError& aError);
   Task<void> EndWithoutResponse(SendOutcome aLast);
   Task<void> SendRejection(std::string aReason);
@@ -261,9 +269,10 @@
   Millis engineRest{ 0 };       // that the current response asks for
   TimePoint responseStartedAt;  // start of the current response
   TimePoint sentAt;             // of the current send
-  TimePoint firstEventAt;       // 0 before the first event
-  TimePoint lastEventAt;        // 0 before the first event
-  TimePoint progressAt;         // latest event of the current response; 0: none
+  std::optional<ObservedRequest> observed; // of the current send
+  TimePoint firstEventAt;                  // 0 before the first event
+  TimePoint lastEventAt;                   // 0 before the first event
+  TimePoint progressAt;    // latest event of the current response; 0: none
   Millis deferredFor{ 0 }; // for other requests that could still start on time
   Millis longestGap{ 0 };  // between two pieces of the stream to the caller
   std::string lastFailure; // why the last send failed
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -157,6 +157,7 @@
   this->responseStarted = true;
   const TimePoint now = ServingState::Now();
   this->responseStartedAt = now;
+  this->RecordFirstTokenEvidence(aPlacement.backend, now);
   if (this->peer.Empty()) {
     this->loadGuard->RecordFirstToken();
     this->RecordSpeed(aPlacement, now);
@@ -258,6 +259,10 @@
   }
   this->lastEventAt = now;
   this->progressAt = now;
+  if (this->observed) {
+    this->state.evidence.RecordEvents(
+      *this->observed, this->splitter.ReturnedCount() - this->eventsAtStart);
+  }
   if (this->IsWritten()) {
     this->RecordWritten();
   }
--- a/src/serve/RolloutMonitor.cpp
+++ b/src/serve/RolloutMonitor.cpp
@@ -7,6 +7,7 @@
 #include "edge/Worker.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace toucanshed {
@@ -67,6 +68,25 @@
   }
 }
 
+/** Reports this daemon's evidence when its running requests to the target show
+ * more than before: they may run for long, and no event tells of one that only
+ * waits. */
+void
+ReportRunning(ServingState& aState,
+              const Rollout& aRollout,
+              std::map<Position, Tally>& aReported)
+{
+  const Position order = aRollout.order.position;
+  const Tally running = aState.evidence.RunningTally(
+    order, aRollout.order.target, ServingState::Now());
+  Tally& reported = aReported[order];
+  const bool isNews = running != reported && running != Tally{};
+  reported = running;
+  if (isNews) {
+    aState.sendEvidence();
+  }
+}
+
 /** Whether the engines of both versions can serve the demand once the rollout
  * has ended. */
 RolloutReadiness
@@ -76,6 +96,12 @@
 {
   RolloutReadiness readiness;
   readiness.doubtful = aVerdict.doubtful;
+  // Other daemons do not receive the evidence. They send no more than their
+  // share until the deadline, and after it no more than the canary share.
+  const bool gathersEvidence =
+    aState.dutyFence.value != 0 ||
+    aState.peers.PrecedingPeers() < PeerTable::kDutyCandidates;
+  readiness.conclusive = aVerdict.conclusive || !gathersEvidence;
   for (const auto& [id, backend] : aState.backends.All()) {
     const bool counts =
       backend.entry.service == aRollout.order.service && !backend.leaving;
@@ -109,15 +135,16 @@
       oldVersions.insert(version);
     }
   }
+  const TimePoint now = ServingState::Now();
   StratumTallies oldTallies;
   for (const VersionId& version : oldVersions) {
     for (const auto& [stratum, tally] :
-         aState.evidence.Sum(aRollout.order.position, version)) {
+         aState.evidence.Sum(aRollout.order.position, version, now)) {
       oldTallies[stratum] += tally;
     }
   }
   const StratumTallies newTallies =
-    aState.evidence.Sum(aRollout.order.position, aRollout.order.target);
+    aState.evidence.Sum(aRollout.order.position, aRollout.order.target, now);
   return CompareVersions(oldTallies, newTallies, VersionComparisonLimits{});
 }
 
@@ -137,12 +164,14 @@
 MonitorRollouts(ServingState& aState)
 {
   aState.pool.First().Spawn(FollowStatuses(aState));
+  std::map<Position, Tally> reportedRunning;
   while (true) {
     co_await Sleep(kPollInterval);
     if (aState.catalog == nullptr) {
       continue;
     }
     for (const Rollout& rollout : aState.rollouts.Active()) {
+      ReportRunning(aState, rollout, reportedRunning);
       const VersionVerdict verdict = EvaluateRollout(aState, rollout);
       aState.rollouts.SetReadiness(rollout.order.service,
                                    ReadinessOf(aState, rollout, verdict),
--- a/src/serve/VersionEvidence.cpp
+++ b/src/serve/VersionEvidence.cpp
@@ -20,6 +20,49 @@
   }
 }
 
+void
+RequestForwarder::StartEvidence(const InstanceId& aBackend)
+{
+  const Rollout* rollout = this->state.rollouts.Find(this->request.service);
+  const Backend* backend = this->state.backends.Find(aBackend);
+  const bool counts = rollout != nullptr && backend != nullptr &&
+                      rollout->phase == RolloutPhase::eActive;
+  this->observed.reset();
+  if (counts) {
+    this->observed =
+      this->state.evidence.Start(rollout->order.position,
+                                 backend->entry.version,
+                                 Stratum{ 0, this->request.route->name },
+                                 this->sentAt);
+  }
+}
+
+void
+RequestForwarder::RecordFirstTokenEvidence(const InstanceId& aBackend,
+                                           TimePoint aNow)
+{
+  if (!this->observed) {
+    return;
+  }
+  this->state.evidence.RecordFirstToken(*this->observed, aNow);
+  const Rollout* rollout = this->state.rollouts.Find(this->request.service);
+  const Backend* backend = this->state.backends.Find(aBackend);
+  const bool isTarget = rollout != nullptr && backend != nullptr &&
+                        backend->entry.version == rollout->order.target;
+  if (isTarget) {
+    this->state.sendEvidence();
+  }
+}
+
+void
+RequestForwarder::StopEvidence(SendOutcome aOutcome)
+{
+  if (this->observed) {
+    const bool wasSent = aOutcome != SendOutcome::eNotRun;
+    this->state.evidence.Stop(*this->observed, wasSent, ServingState::Now());
+  }
+}
+
 void
 RequestForwarder::RecordEvidence(const InstanceId& aBackend,
                                  SendOutcome aOutcome)
@@ -36,7 +79,8 @@
   Observation observation;
   observation.error =
     aOutcome != SendOutcome::eResponded || this->responseFailed;
-  if (this->responseStarted) {
+  const bool isRecorded = this->observed.has_value();
+  if (this->responseStarted && !isRecorded) {
     observation.firstTokenMs =
       static_cast<double>((this->responseStartedAt - this->sentAt).count());
   }
--- a/test/VerdictSimulation.cpp
+++ b/test/VerdictSimulation.cpp
@@ -22,6 +22,8 @@
 constexpr Millis kRollbackTime{ 5000 };
 constexpr Millis kContact{ 3000 };
 constexpr Millis kMaxResponse{ 200 };
+constexpr Millis kMaxFirstToken{ 100 };
+constexpr Millis kMaxStream{ 3000 };
 constexpr Millis kMaxMessageDelay{ 300 };
 constexpr Millis kEvidenceJitter{ 200 };
 constexpr Millis kEvaluationInterval{ 200 };
@@ -36,6 +38,7 @@
 
 VerdictSimulation::VerdictSimulation(std::size_t aDaemons)
   : daemons(aDaemons)
+  , order(kOrder)
 {
   for (std::size_t i = 0; i < aDaemons; ++i) {
     this->StartDaemon(i);
@@ -72,7 +75,7 @@
   daemon.evaluateAt =
     this->steps.Now() + this->steps.RandomDelay(kEvaluationInterval);
   if (this->ordered) {
-    daemon.rollouts->Start(kOrder, this->steps.Now());
+    daemon.rollouts->Start(this->order, this->steps.Now());
   }
 }
 
@@ -88,10 +91,20 @@
   this->badShare = aBadShare;
   this->ordered = true;
   for (Daemon& daemon : this->daemons) {
-    daemon.rollouts->Start(kOrder, this->steps.Now());
+    daemon.rollouts->Start(this->order, this->steps.Now());
   }
 }
 
+void
+VerdictSimulation::OrderStreams(Millis aDuration, double aSlowFactor)
+{
+  this->streams = true;
+  this->slowFactor = aSlowFactor;
+  this->order.duration = aDuration;
+  this->orderedAt = this->steps.Now();
+  this->Order(0);
+}
+
 void
 VerdictSimulation::Send(std::size_t aFrom,
                         std::size_t aTo,
@@ -123,12 +136,72 @@
   const bool late = this->limitAt.ms != 0 && this->steps.Now() > this->limitAt;
   this->sentToTarget += toTarget ? 1 : 0;
   this->sentTooLate += toTarget && late && inTouch ? 1 : 0;
+  if (this->streams) {
+    this->SendStream(index, toTarget);
+    return;
+  }
   this->steps.After(this->steps.RandomDelay(kMaxResponse),
                     [this, index, life = daemon.life, toTarget] {
                       this->Respond(index, life, toTarget);
                     });
 }
 
+void
+VerdictSimulation::SendStream(std::size_t aDaemon, bool aTarget)
+{
+  constexpr double kEvents = 40;
+  Daemon& daemon = this->daemons[aDaemon];
+  const std::uint64_t life = daemon.life;
+  const double factor = aTarget ? this->slowFactor : 1;
+  const auto after = [&](Millis aUsual) {
+    return Millis(
+      static_cast<std::int64_t>(factor * static_cast<double>(aUsual.count())));
+  };
+  const Millis first = after(this->steps.RandomDelay(kMaxFirstToken));
+  const Millis stream = after(this->steps.RandomDelay(kMaxStream));
+  const ObservedRequest request =
+    daemon.evidence->Start(this->order.position,
+                           aTarget ? kTarget : kOld,
+                           Stratum{},
+                           this->steps.Now());
+  this->steps.After(first, [this, aDaemon, life, aTarget, request] {
+    Daemon& sender = this->daemons[aDaemon];
+    if (sender.life == life) {
+      sender.evidence->RecordFirstToken(request, this->steps.Now());
+      if (aTarget) {
+        this->ScheduleEvidence(aDaemon);
+      }
+    }
+  });
+  this->steps.After(
+    first + stream, [this, aDaemon, life, aTarget, stream, request] {
+      Daemon& sender = this->daemons[aDaemon];
+      if (sender.life == life) {
+        sender.evidence->Stop(request, true, this->steps.Now());
+        Observation observation;
+        observation.meanGapMs = static_cast<double>(stream.count()) / kEvents;
+        sender.evidence->Observe(this->order.position,
+                                 aTarget ? kTarget : kOld,
+                                 Stratum{},
+                                 observation);
+        if (aTarget) {
+          this->ScheduleEvidence(aDaemon);
+        }
+      }
+    });
+}
+
+void
+VerdictSimulation::ScheduleEvidence(std::size_t aDaemon)
+{
+  this->steps.After(this->steps.RandomDelay(kEvidenceJitter),
+                    [this, aDaemon, life = this->daemons[aDaemon].life] {
+                      if (this->daemons[aDaemon].life == life) {
+                        this->SendEvidence(aDaemon);
+                      }
+                    });
+}
+
 void
 VerdictSimulation::Respond(std::size_t aDaemon,
                            std::uint64_t aLife,
@@ -150,20 +223,15 @@
   daemon.evidence->Observe(
     kOrder.position, aTarget ? kTarget : kOld, Stratum{}, observation);
   if (aTarget) {
-    this->steps.After(this->steps.RandomDelay(kEvidenceJitter),
-                      [this, aDaemon, aLife] {
-                        if (this->daemons[aDaemon].life == aLife) {
-                          this->SendEvidence(aDaemon);
-                        }
-                      });
+    this->ScheduleEvidence(aDaemon);
   }
 }
 
 void
 VerdictSimulation::SendEvidence(std::size_t aDaemon)
 {
-  const auto evidence =
-    this->daemons[aDaemon].evidence->LocalEvidence(kOrder.position);
+  const auto evidence = this->daemons[aDaemon].evidence->LocalEvidence(
+    kOrder.position, this->steps.Now());
   for (const std::string& address :
        this->daemons[aDaemon].peers->DutyCandidateAddresses(
          this->steps.Now())) {
@@ -219,13 +287,32 @@
   if (rollout == nullptr || rollout->phase != RolloutPhase::eActive) {
     return;
   }
-  const VersionVerdict verdict =
-    CompareVersions(daemon.evidence->Sum(kOrder.position, kOld),
-                    daemon.evidence->Sum(kOrder.position, kTarget),
-                    VersionComparisonLimits{});
+  const VersionVerdict verdict = CompareVersions(
+    daemon.evidence->Sum(kOrder.position, kOld, this->steps.Now()),
+    daemon.evidence->Sum(kOrder.position, kTarget, this->steps.Now()),
+    VersionComparisonLimits{});
+  if (this->streams) {
+    const Tally running = daemon.evidence->RunningTally(
+      this->order.position, kTarget, this->steps.Now());
+    if (running != daemon.reportedRunning) {
+      daemon.reportedRunning = running;
+      this->ScheduleEvidence(aDaemon);
+    }
+    const std::size_t gathering = 1 + PeerTable::kDutyCandidates;
+    RolloutReadiness readiness{ 10, 10, 5, verdict.doubtful };
+    readiness.conclusive = verdict.conclusive || aDaemon >= gathering;
+    daemon.rollouts->SetReadiness(kService, readiness, this->steps.Now());
+    if (aDaemon == 0) {
+      this->Decide(daemon, verdict);
+    }
+  }
   if (!verdict.bad) {
     return;
   }
+  if (!this->ended) {
+    this->ended = { RolloutPhase::eRolledBack,
+                    this->steps.Now() - this->orderedAt };
+  }
   daemon.rollouts->RecordEnd(EndedRollout{
     kService, kTarget, kOrder.position, RolloutPhase::eRolledBack });
   for (std::size_t to = 0; to < this->daemons.size(); ++to) {
@@ -233,6 +320,22 @@
   }
 }
 
+void
+VerdictSimulation::Decide(Daemon& aHolder, const VersionVerdict& aVerdict)
+{
+  const auto phase = aHolder.rollouts->Decide(
+    *aHolder.rollouts->Find(kService), aVerdict, this->steps.Now());
+  if (!phase || this->ended) {
+    return;
+  }
+  this->ended = { *phase, this->steps.Now() - this->orderedAt };
+  aHolder.rollouts->RecordEnd(
+    EndedRollout{ kService, kTarget, this->order.position, *phase });
+  for (std::size_t to = 0; to < this->daemons.size(); ++to) {
+    this->SendEnded(0, to);
+  }
+}
+
 void
 VerdictSimulation::Run(Millis aDuration, double aRequestsPerS)
 {
--- a/test/VerdictSimulation.h
+++ b/test/VerdictSimulation.h
@@ -14,6 +14,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace toucanshed::test {
@@ -27,6 +29,9 @@
   void Run(Millis aDuration, double aRequestsPerS);
   /** All daemons read the order; the target fails a share of its requests. */
   void Order(double aBadShare);
+  /** All daemons read an order with a deadline. Responses are streams, and
+   * those of the target take aSlowFactor times as long. */
+  void OrderStreams(Millis aDuration, double aSlowFactor);
   /** The daemon restarts and reads the order, without a status. */
   void RestartDaemon(std::size_t aDaemon);
   /** No messages pass between the daemons below aFirst and the others; 0: all
@@ -37,6 +42,12 @@
   /** Requests that a daemon sent to the target later than the time allowed
    * after its 50th bad response, from kContact after the daemon's start on. */
   [[nodiscard]] std::size_t SentTooLate() const { return this->sentTooLate; }
+  /** How the rollout ended at the duty holder, and how long after the order;
+   * nothing while it is active. */
+  [[nodiscard]] std::optional<std::pair<RolloutPhase, Millis>> Ended() const
+  {
+    return this->ended;
+  }
   /** Requests sent to the target in all. */
   [[nodiscard]] std::size_t SentToTarget() const { return this->sentToTarget; }
 
@@ -52,6 +63,7 @@
     TimePoint startedAt;
     TimePoint heartbeatAt;
     TimePoint evaluateAt;
+    Tally reportedRunning;
   };
 
   void StartDaemon(std::size_t aDaemon);
@@ -60,6 +72,12 @@
   void Send(std::size_t aFrom, std::size_t aTo, std::function<void(Daemon&)>);
   void SendRequest();
   void Respond(std::size_t aDaemon, std::uint64_t aLife, bool aTarget);
+  /** A request whose response is a stream. */
+  void SendStream(std::size_t aDaemon, bool aTarget);
+  /** Sends the daemon's evidence about the target within kEvidenceJitter. */
+  void ScheduleEvidence(std::size_t aDaemon);
+  /** The duty holder decides on the rollout. */
+  void Decide(Daemon& aHolder, const VersionVerdict& aVerdict);
   void SendEvidence(std::size_t aDaemon);
   void SendEnded(std::size_t aDaemon, std::size_t aTo);
   void SendHeartbeat(std::size_t aDaemon);
@@ -70,6 +88,11 @@
   std::vector<Daemon> daemons;
   double pendingLoad = 0; // fraction of a request carried over
   double badShare = 0;
+  bool streams = false;
+  double slowFactor = 1; // of the target's streams
+  RolloutOrder order;
+  TimePoint orderedAt;
+  std::optional<std::pair<RolloutPhase, Millis>> ended;
   bool ordered = false;
   std::size_t attempts = 0;
   std::size_t badResponses = 0;
--- a/test/correctness/RolloutVerdictTest.cpp
+++ b/test/correctness/RolloutVerdictTest.cpp
@@ -6,9 +6,24 @@
 namespace {
 
 constexpr double kRequestsPerS = 300;
+constexpr double kStreamsPerDaemonPerS = 12;
 constexpr double kBadShares[] = { 0.4, 1.0 };
 constexpr std::size_t kSizes[] = { 7, 69, 330 };
 
+/** Runs until the rollout has ended, at most for a time. */
+void
+RunUntilEnded(VerdictSimulation& aSimulation,
+              Millis aLongest,
+              std::size_t aDaemons)
+{
+  constexpr Millis kStep{ 500 };
+  const double requestsPerS =
+    kStreamsPerDaemonPerS * static_cast<double>(aDaemons);
+  for (Millis ran{ 0 }; ran < aLongest && !aSimulation.Ended(); ran += kStep) {
+    aSimulation.Run(kStep, requestsPerS);
+  }
+}
+
 } // namespace
 
 // Guards against a rollback that is decided or spread too late.
@@ -82,4 +97,38 @@
   }
 }
 
+// Guards against a slow version that is kept since its slow requests had not
+// ended when the rollout was decided.
+TEST_CASE("a slow version is not completed, however short the deadline")
+{
+  for (const std::size_t daemons : kSizes) {
+    for (const int deadline : { 2500, 4000, 5000, 7000, 15000 }) {
+      VerdictSimulation simulation(daemons);
+      simulation.Run(Millis(15000), kRequestsPerS);
+      simulation.OrderStreams(Millis(deadline), 4);
+      RunUntilEnded(simulation, Millis(deadline + 32000), daemons);
+      INFO(daemons << " daemons, " << deadline << " ms");
+      REQUIRE(simulation.Ended());
+      CHECK(simulation.Ended()->first == RolloutPhase::eRolledBack);
+    }
+  }
+}
+
+// Guards against evidence rules that delay or end good rollouts.
+TEST_CASE("a good version is completed in time by short deadlines")
+{
+  for (const std::size_t daemons : kSizes) {
+    for (const int deadline : { 5000, 7000, 15000 }) {
+      VerdictSimulation simulation(daemons);
+      simulation.Run(Millis(15000), kRequestsPerS);
+      simulation.OrderStreams(Millis(deadline), 1);
+      RunUntilEnded(simulation, Millis(deadline + 32000), daemons);
+      INFO(daemons << " daemons, " << deadline << " ms");
+      REQUIRE(simulation.Ended());
+      CHECK(simulation.Ended()->first == RolloutPhase::eCompleted);
+      CHECK(simulation.Ended()->second <= Millis(deadline));
+    }
+  }
+}
+
 } // namespace toucanshed::test
--- a/test/correctness/RolloutsTest.cpp
+++ b/test/correctness/RolloutsTest.cpp
@@ -61,6 +61,7 @@
   verdict.bad = aBad;
   verdict.doubtful = aDoubtful;
   verdict.requests = aRequests;
+  verdict.conclusive = aRequests > 0;
   return verdict;
 }
 
@@ -337,8 +338,7 @@
   rollouts.SetReadiness(kService, MakeReadiness(4, 60, 50), end - Millis(1000));
   CHECK_FALSE(
     rollouts.Decide(*rollouts.Find(kService), goodVerdict, end).has_value());
-  CHECK(
-    rollouts.IsWaitingForEngines(*rollouts.Find(kService), goodVerdict, end));
+  CHECK(rollouts.IsWaiting(*rollouts.Find(kService), goodVerdict, end));
   CHECK(NewVersionShare(rollouts, kStart, duration) < 0.1);
   // Meanwhile each version gets a share in proportion to its engines.
   rollouts.SetReadiness(
--- a/test/performance/RolloutSimulation.cpp
+++ b/test/performance/RolloutSimulation.cpp
@@ -154,7 +154,7 @@
   {
     for (std::size_t i = 1; i < kDaemons; ++i) {
       for (const peer::Evidence& evidence :
-           this->tables[i].LocalEvidence(kRollout)) {
+           this->tables[i].LocalEvidence(kRollout, TimePoint{ this->nowMs })) {
         this->tables[0].Merge(evidence);
       }
     }
@@ -166,8 +166,9 @@
   void EvaluateRollout()
   {
     EvidenceTable& table = this->tables[0];
-    this->input.verdict = CompareVersions(table.Sum(kRollout, kOldVersion),
-                                          table.Sum(kRollout, kNewVersion),
+    const TimePoint now{ this->nowMs };
+    this->input.verdict = CompareVersions(table.Sum(kRollout, kOldVersion, now),
+                                          table.Sum(kRollout, kNewVersion, now),
                                           VersionComparisonLimits{});
     this->input.stepRequests =
       this->input.verdict.requests - this->requestsAtStepStart;
