Rollouts: a larger canary share until enough was seen of the new version

Change: until the verdict is conclusive the canary share uses 0.8 of the exposure limit instead of 0.45; each daemon's own count of its sends still keeps it within the limit.

--- a/src/coord/Rollouts.cpp
+++ b/src/coord/Rollouts.cpp
@@ -257,7 +257,9 @@
 double
 Rollouts::NewVersionShareAt(const Rollout& aRollout, TimePoint aNow) const
 {
-  const double canary = this->limits.trafficShare * kCanaryShare;
+  const double canary =
+    this->limits.trafficShare *
+    (aRollout.IsConclusive() ? kCanaryShare : kEarlyCanaryShare);
   const TimePoint cutoverStart = this->CutoverStart(aRollout);
   if (aNow < cutoverStart) {
     return canary;
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -73,6 +73,12 @@
   std::optional<RolloutReadiness> readiness; // nullopt: not known yet
   TimePoint readySince; // start, or when CanServeAll last became true
 
+  /** Whether enough was seen of the new version; assumed to be so while nothing
+   * is known. */
+  [[nodiscard]] bool IsConclusive() const
+  {
+    return !this->readiness || this->readiness->conclusive;
+  }
   /** Whether the new version can serve all traffic; assumed to be so while
    * nothing is known. */
   [[nodiscard]] bool CanServeAll() const
@@ -124,6 +130,8 @@
 public:
   /** Fraction of the exposure limit that the canary share uses. */
   static constexpr double kCanaryShare = 0.45;
+  /** The same while too little was seen of the new version. */
+  static constexpr double kEarlyCanaryShare = 0.8;
   /** Fraction of the exposure limit that the cutover uses. */
   static constexpr double kCutoverShare = 0.4;
   /** Minimum duration of the cutover: within it a decision has to be recorded
