Calls: responses without end are bounded in memory and time

Callers of a daemon whose engine, store, cloud or peer sends bytes without end would lose the daemon: a call could hold 64 MB, many calls any multiple of it, and a chunk extension, a chunk size or a trailer without end any amount; trickled bytes kept a call for ever. An interim response was taken for the final one and passed on to the caller.

Cause: HttpExchange bounded each body and the time without progress, but not what is read ahead, not the sum over all calls, and not the whole time.

Change: bytes read ahead are bounded by 64 KiB a connection and heads by 16 KiB; up to eight interim responses are skipped; what calls hold of responses that must be complete is bounded by 8 MB a call and 48 MB a worker (ResponseBuffer), the part of a stream's event that has arrived included. A relayed response must be complete by the request's deadline, a fetched one within three idle timeouts after its head. Beyond a bound the connection is closed, and the caller gets what a broken response gets: another try where that is allowed, otherwise 502 or 504. The timer of a Beast stream does not end reads whose bytes have arrived already, so the deadline is checked before each.

--- a/src/coord/EventSplitter.h
+++ b/src/coord/EventSplitter.h
@@ -62,6 +62,12 @@
     return this->returnedCount;
   }
 
+  /** Bytes of the incomplete event that are held. */
+  [[nodiscard]] std::size_t PendingBytes() const
+  {
+    return this->pending.size();
+  }
+
   /** Discards an incomplete event. A new engine continues after LastId(). */
   void DiscardPartialEvent() { this->pending.clear(); }
 
--- a/src/edge/EngineClient.cpp
+++ b/src/edge/EngineClient.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** A longer line of an engine's stream is no event. */
+constexpr std::size_t kMaxLineBytes = std::size_t{ 1 } << 20U;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kTooManyRequests = 429;
@@ -87,6 +90,11 @@
       co_return std::optional<EngineEvent>{};
     }
     this->buffer += **chunk;
+    if (this->buffer.size() > kMaxLineBytes) {
+      this->exchange.CloseConnection();
+      co_return tl::unexpected<EngineError>(EngineError{
+        EngineErrorKind::eMalformedEvent, "an engine's event has no end" });
+    }
   }
 }
 
--- a/src/edge/HttpConnectionPool.cpp
+++ b/src/edge/HttpConnectionPool.cpp
@@ -59,7 +59,7 @@
 {
   return std::make_unique<HttpConnection>(
     HttpConnection{ boost::beast::tcp_stream(this->context),
-                    {},
+                    boost::beast::flat_buffer(HttpConnection::kMaxBufferBytes),
                     aEndpoint,
                     std::chrono::steady_clock::now() });
 }
--- a/src/edge/HttpConnectionPool.h
+++ b/src/edge/HttpConnectionPool.h
@@ -18,6 +18,10 @@
 /** A connection and the bytes read ahead from it. */
 struct HttpConnection
 {
+  /** Most bytes that are read ahead, and so the longest chunk header and the
+   * longest trailer. */
+  static constexpr std::size_t kMaxBufferBytes = std::size_t{ 64 } << 10U;
+
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   Endpoint endpoint;
--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "Worker.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -15,8 +16,16 @@
 
 namespace {
 
-/** A larger response fails as a protocol error. */
+/** A larger head fails as a protocol error. */
+constexpr std::uint32_t kMaxHeadBytes = 16U << 10U;
+/** The same for a body, which callers may forward without holding it. */
 constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20U;
+/** The same for more interim responses. */
+constexpr int kMaxInterimResponses = 8;
+/** Time for the body of a fetched response, in idle timeouts. */
+constexpr int kMaxBodyTimeouts = 3;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
 
 ErrorCode
 ErrorCodeOf(const boost::system::error_code& aError)
@@ -149,17 +158,43 @@
   if (error) {
     co_return this->FailCall(CallPhase::eSend, error);
   }
-  this->parser = std::make_unique<Parser>();
-  this->parser->body_limit(kMaxResponseBytes);
-  co_await http::async_read_header(
-    current.stream,
-    current.buffer,
-    *this->parser,
-    net::redirect_error(net::use_awaitable, error));
-  if (error) {
-    co_return this->FailCall(CallPhase::eHead, error);
+  co_return co_await this->ReadHead();
+}
+
+Task<std::optional<CallError>>
+HttpExchange::ReadHead()
+{
+  HttpConnection& current = *this->connection;
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    this->parser = std::make_unique<Parser>();
+    this->parser->header_limit(kMaxHeadBytes);
+    this->parser->body_limit(kMaxResponseBytes);
+    boost::system::error_code error;
+    co_await http::async_read_header(
+      current.stream,
+      current.buffer,
+      *this->parser,
+      net::redirect_error(net::use_awaitable, error));
+    if (error) {
+      co_return this->FailCall(CallPhase::eHead, error);
+    }
+    const unsigned status = this->Status();
+    if (status >= kFirstFinalStatus) {
+      co_return std::nullopt;
+    }
+    if (status == kSwitchingProtocols) {
+      break; // was not requested
+    }
   }
-  co_return std::nullopt;
+  co_return this->FailCall(CallPhase::eHead,
+                           http::make_error_code(http::error::bad_status));
+}
+
+std::chrono::steady_clock::time_point
+HttpExchange::ReadExpiry() const
+{
+  const auto idle = std::chrono::steady_clock::now() + this->timeouts.bodyIdle;
+  return this->deadline ? std::min(idle, *this->deadline) : idle;
 }
 
 Task<CallResult<HttpExchange>>
@@ -219,9 +254,15 @@
 {
   std::string& body = this->parser->get().body();
   while (body.empty() && !this->parser->is_done()) {
+    // The stream's timer does not end reads whose bytes are there already.
+    const auto now = std::chrono::steady_clock::now();
+    if (this->deadline && now >= *this->deadline) {
+      co_return tl::unexpected<CallError>(
+        this->FailCall(CallPhase::eBody, boost::beast::error::timeout));
+    }
     boost::system::error_code error;
     HttpConnection& current = *this->connection;
-    current.stream.expires_after(this->timeouts.bodyIdle);
+    current.stream.expires_at(this->ReadExpiry());
     co_await http::async_read_some(
       current.stream,
       current.buffer,
@@ -272,6 +313,8 @@
   HttpResponse response;
   static_cast<http::fields&>(response.base()) = opened->Headers();
   response.result(opened->Status());
+  opened->SetTimeLeft(kMaxBodyTimeouts * aTimeouts.bodyIdle);
+  ResponseBuffer buffer(aWorker.responseBuffers);
   while (true) {
     auto chunk = co_await opened->ReadChunk();
     if (!chunk) {
@@ -280,6 +323,13 @@
     if (!chunk->has_value()) {
       co_return response;
     }
+    if (!buffer.Resize(response.body().size() + (*chunk)->size())) {
+      co_return tl::unexpected<CallError>(
+        CallError{ CallPhase::eBody,
+                   ErrorCode::eProtocol,
+                   "the response is too large to hold",
+                   false });
+    }
     response.body() += **chunk;
   }
 }
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -8,6 +8,7 @@
 #include "Task.h"
 
 #include <boost/beast/http/parser.hpp>
+#include <chrono>
 #include <functional>
 #include <optional>
 
@@ -106,6 +107,12 @@
   {
     this->timeouts.bodyIdle = aTimeout;
   }
+  /** Sets when the response must be complete, from now. However many bytes
+   * arrive, ReadChunk fails with a timeout after that. */
+  void SetTimeLeft(std::chrono::milliseconds aTime)
+  {
+    this->deadline = std::chrono::steady_clock::now() + aTime;
+  }
   /** Closes the connection and discards the rest of the response. */
   void CloseConnection();
 
@@ -135,16 +142,23 @@
 
   Task<std::optional<CallError>> Connect();
   Task<std::optional<CallError>> SendAndReadHead(HttpRequest& aRequest);
+  /** Reads the head of the final response; interim ones are skipped. */
+  Task<std::optional<CallError>> ReadHead();
+  /** When the next read fails for lack of progress or of time. */
+  [[nodiscard]] std::chrono::steady_clock::time_point ReadExpiry() const;
   CallError FailCall(CallPhase aPhase, const boost::system::error_code& aError);
 
   Worker* worker = nullptr;
   CallTimeouts timeouts;
+  std::optional<std::chrono::steady_clock::time_point> deadline;
   std::shared_ptr<AbortHandle> abortHandle;
   std::unique_ptr<HttpConnection> connection;
   std::unique_ptr<Parser> parser;
 };
 
-/** Sends a request and reads the whole response. If the call fails on a reused
+/** Sends a request and reads the whole response, which must be complete within
+ * kMaxBodyTimeouts times the body's idle timeout and fit ResponseBuffer. If the
+ * call fails on a reused
  * connection before the body of the response, it is repeated once on a new
  * connection. Pass aNewConnection for calls that must not be repeated. */
 Task<CallResult<HttpResponse>>
--- a/src/edge/Worker.h
+++ b/src/edge/Worker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "HttpConnectionPool.h"
+#include "ResponseBuffer.h"
 #include "Task.h"
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +22,7 @@
 {
   boost::asio::io_context context{ 1 };
   HttpConnectionPool connectionPool{ context };
+  ResponseBufferPool responseBuffers;
 
   /** Starts a coroutine on this worker. An exception that it throws is a
    * broken invariant and aborts the process. */
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -203,6 +203,8 @@
 {
   this->splitter.DiscardPartialEvent();
   aExchange.SetBodyIdleTimeout(this->AttemptTimeout());
+  aExchange.SetTimeLeft(this->TimeLeft());
+  ResponseBuffer buffer(this->state.pool.First().responseBuffers);
   while (true) {
     auto piece = co_await aExchange.ReadChunk();
     if (!piece) {
@@ -221,6 +223,10 @@
       this->lastFailure = "an event of the stream is missing";
       co_return SendOutcome::eMayHaveRun;
     }
+    if (!buffer.Resize(this->splitter.PendingBytes())) {
+      this->lastFailure = "an event of the stream is too large to hold";
+      co_return SendOutcome::eMayHaveRun;
+    }
   }
   if (this->splitter.HasPartialEvent() || !this->responder.Started()) {
     this->lastFailure = "the stream ended within an event";
@@ -295,6 +301,8 @@
   HttpResponse response =
     this->state.wire.backends.forwardHead(status, aExchange.Headers());
   EraseRelayOutcome(response);
+  aExchange.SetTimeLeft(this->TimeLeft());
+  ResponseBuffer buffer(this->state.pool.First().responseBuffers);
   while (true) {
     auto piece = co_await aExchange.ReadChunk();
     if (!piece) {
@@ -304,6 +312,10 @@
     if (!piece->has_value()) {
       break;
     }
+    if (!buffer.Resize(response.body().size() + (*piece)->size())) {
+      this->lastFailure = "the response is too large to hold";
+      co_return SendOutcome::eMayHaveRun;
+    }
     response.body() += **piece;
   }
   const bool crashed =
--- a/standin/platform/RawEngine.cpp
+++ b/standin/platform/RawEngine.cpp
@@ -40,6 +40,28 @@
   }
 }
 
+Task<void>
+RawEngine::Repeat(tcp::socket& aSocket)
+{
+  constexpr std::size_t kMaxRepeatedBytes = std::size_t{ 200 } << 20U;
+  std::size_t written = 0;
+  while (written < kMaxRepeatedBytes) {
+    boost::system::error_code error;
+    co_await net::async_write(aSocket,
+                              net::buffer(this->repeated),
+                              net::redirect_error(net::use_awaitable, error));
+    if (error) {
+      ++this->closedByPeer;
+      co_return;
+    }
+    written += this->repeated.size();
+    this->repeatedBytes += this->repeated.size();
+    if (this->repeatInterval.count() > 0) {
+      co_await Sleep(this->repeatInterval);
+    }
+  }
+}
+
 Task<void>
 RawEngine::Serve(tcp::socket aSocket)
 {
@@ -66,6 +88,9 @@
   co_await net::async_write(aSocket,
                             net::buffer(bytes),
                             net::redirect_error(net::use_awaitable, error));
+  if (!this->repeated.empty() && !error) {
+    co_await this->Repeat(aSocket);
+  }
   if (this->end == ConnectionEnd::eReset) {
     // Until the bytes have been read: a reset discards them.
     co_await Sleep(std::chrono::milliseconds(50));
--- a/standin/platform/RawEngine.h
+++ b/standin/platform/RawEngine.h
@@ -23,7 +23,8 @@
 };
 
 /** Each connection serves one request: the response, in which ATTEMPT is
- * replaced by the request's attempt ID, then the end of the connection.
+ * replaced by the request's attempt ID, then `repeated` for as long as the peer
+ * reads it, then the end of the connection.
  *
  * Thread safety: none; belongs to the worker. */
 class RawEngine
@@ -38,6 +39,10 @@
   void Stop();
 
   std::string response;
+  std::string repeated; // empty: nothing follows the response
+  std::chrono::milliseconds repeatInterval{ 0 };
+  std::size_t repeatedBytes = 0; // that all peers have taken
+  std::size_t closedByPeer = 0;  // connections that a peer closed meanwhile
   ConnectionEnd end = ConnectionEnd::eClose;
   bool stopsAfterResponse = false;
   std::size_t requests = 0;
@@ -46,6 +51,9 @@
 private:
   Task<void> Accept();
   Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+  /** Repeats until the peer closes the connection, at most kMaxRepeatedBytes.
+   */
+  Task<void> Repeat(boost::asio::ip::tcp::socket& aSocket);
 
   Worker& worker;
   boost::asio::ip::tcp::acceptor acceptor;
