--- a/test/failure/EndlessResponseTest.cpp
+++ b/test/failure/EndlessResponseTest.cpp
@@ -57,16 +57,17 @@
 };
 
 EndlessResult
-SendTo(const EndlessResponse& aResponse, Millis aInterval)
+SendTo(PlatformHarness& aTarget,
+       const EndlessResponse& aResponse,
+       Millis aInterval)
 {
-  PlatformHarness harness(24440);
   const bool isStream = aResponse.path.starts_with("/chat");
-  auto& engine = harness.AddRawEngine("raw", isStream ? "model" : "plain");
+  auto& engine = aTarget.AddRawEngine("raw", isStream ? "model" : "plain");
   engine.response = aResponse.start;
   engine.repeated = aResponse.repeated;
   engine.repeatInterval = aInterval;
   EndlessResult result;
-  harness.Run([](PlatformHarness& aHarness,
+  aTarget.Run([](PlatformHarness& aHarness,
                  const EndlessResponse& aTo,
                  EndlessResult& aResult) -> Task<void> {
     CallerMessage message;
@@ -74,10 +75,10 @@
     message.fields = { { "Prefix-Hash", "system:100,own:20" } };
     aResult.response = co_await aHarness.SendRequest(std::move(message));
     co_await Sleep(Millis(150)); // until the engine has seen the close
-  }(harness, aResponse, result));
+  }(aTarget, aResponse, result));
   result.taken = engine.repeatedBytes;
   result.closed = engine.closedByPeer;
-  result.held = harness.state->pool.First().responseBuffers.held;
+  result.held = aTarget.state->pool.First().responseBuffers.held;
   return result;
 }
 
@@ -88,7 +89,8 @@
 TEST_CASE("a response without end is closed and answered with a failure")
 {
   for (const EndlessResponse& endless : EndlessResponses()) {
-    const EndlessResult result = SendTo(endless, Millis(0));
+    PlatformHarness harness(24440);
+    const EndlessResult result = SendTo(harness, endless, Millis(0));
     INFO(endless.name);
     CHECK_FALSE((result.response.complete && result.response.status == 200));
     CHECK(result.response.status != 503);
@@ -104,7 +106,8 @@
   for (EndlessResponse endless : EndlessResponses()) {
     endless.repeated = endless.repeated.substr(
       0, std::min<std::size_t>(64, endless.repeated.size()));
-    const EndlessResult result = SendTo(endless, Millis(20));
+    PlatformHarness harness(24600);
+    const EndlessResult result = SendTo(harness, endless, Millis(20));
     INFO(endless.name);
     CHECK_FALSE((result.response.complete && result.response.status == 200));
     CHECK(result.response.status != 503);
