--- a/src/coord/ReportedUsage.h
+++ b/src/coord/ReportedUsage.h
@@ -50,7 +50,7 @@
  * remembers what holders have recorded, and sends it to those that may be the
  * next holder.
  *
- * That no report is known tells something only where it would be known: the
+ * That no report is known proves something only where it would be known: the
  * records of the store's present era have all of its reports, and a daemon has
  * received those that were recorded while it ran. A process that has started
  * since knows neither by itself.
--- a/src/serve/RolloutMonitor.cpp
+++ b/src/serve/RolloutMonitor.cpp
@@ -69,8 +69,8 @@
 }
 
 /** Reports this daemon's evidence when its running requests to the target show
- * more than before: they may run for long, and no event tells of one that only
- * waits. */
+ * more than before: they may run for long, and one that only waits causes no
+ * event. */
 void
 ReportRunning(ServingState& aState,
               const Rollout& aRollout,
