--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -25,13 +25,20 @@
  * callers. */
 constexpr Millis kHandoverTime{ 3000 };
 constexpr Millis kPeerFetchInterval{ 500 };
+/** A body, what is parsed of it, the request that is kept for a retry, and the
+ * one that is sent. */
+constexpr std::size_t kBodyCopies = 4;
+// Parts of what the process may hold for its clients, see ClientLedger.
+constexpr double kCallersPart = 0.5;
+constexpr double kOperatorsPart = 0.1;
 
 HttpLimits
 MakeCallerLimits(DaemonState& aState)
 {
   HttpLimits limits;
   limits.maxBodyBytes = aState.settings.maxBodyBytes;
-  limits.onRejection = [&aState](HttpResponse& aReply) {
+  limits.bodyCopies = kBodyCopies;
+  limits.onRejection = [&aState](const http::fields&, HttpResponse& aReply) {
     aReply.set(kRequestIdHeader, aState.NewId("r"));
     aState.metrics.Count("toucanshed_bad_input_total");
   };
@@ -43,24 +50,29 @@
 Daemon::Daemon(Settings aSettings, std::uint64_t aIncarnation)
   : state(std::move(aSettings), aIncarnation)
   , peers(state)
-  , callerServer(state.pool,
-                 MakeCallerLimits(state),
-                 [this](Worker& aWorker,
-                        const HttpRequest& aRequest,
-                        HttpResponder& aResponder) {
-                   return HandleCaller(
-                     this->state, aWorker, aRequest, aResponder);
-                 })
-  , operatorServer(state.pool,
-                   HttpLimits{},
-                   [this](Worker& aWorker,
-                          const HttpRequest& aRequest,
-                          HttpResponder& aResponder) {
-                     return HandleOperator(
-                       this->state, this->peers, aWorker, aRequest, aResponder);
-                   })
+  , callerServer(
+      state.pool,
+      MakeCallerLimits(state),
+      [this](Worker& aWorker,
+             const HttpRequest& aRequest,
+             HttpResponder& aResponder) {
+        return HandleCaller(this->state, aWorker, aRequest, aResponder);
+      },
+      kCallersPart)
+  , operatorServer(
+      state.pool,
+      HttpLimits{},
+      [this](Worker& aWorker,
+             const HttpRequest& aRequest,
+             HttpResponder& aResponder) {
+        return HandleOperator(
+          this->state, this->peers, aWorker, aRequest, aResponder);
+      },
+      kOperatorsPart)
   , signals(state.pool.First().context, SIGTERM, SIGINT)
 {
+  this->state.pool.Clients().SetLimits(
+    ClientLimits::Of(this->state.settings.machine));
 }
 
 Result<void>
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -3,6 +3,7 @@
 #include "ConfigChange.h"
 #include "Handover.h"
 #include "base/Version.h"
+#include "edge/ClientMetrics.h"
 
 #include <boost/json.hpp>
 #include <charconv>
@@ -191,6 +192,7 @@
 HttpResponse
 MetricsResponse(DaemonState& aState, const PeerExchange& aPeers)
 {
+  RecordClientUsage(aState.pool.Clients().Usage(), aState.metrics);
   std::string text = aState.metrics.ToPrometheusText();
   const auto gauge = [&](const char* aName, std::uint64_t aValue) {
     text += std::string("# TYPE ") + aName + " gauge\n" + aName + " " +
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -1,5 +1,6 @@
 #include "Settings.h"
 
+#include "edge/Machine.h"
 #include "settings.pb.h"
 
 #include <algorithm>
@@ -127,6 +128,40 @@
 
 } // namespace
 
+namespace {
+
+MachineLimits
+ReadMachine(const settings::DaemonSettings& aGiven, ValidationErrors& aErrors)
+{
+  constexpr std::uint64_t kBytesPerMb = 1000000;
+  constexpr std::uint64_t kMinMemoryMb = 64;
+  constexpr std::uint64_t kMaxMemoryMb = 1000000;
+  constexpr std::uint64_t kMinDescriptors = kFileDescriptors + 56;
+  constexpr std::uint64_t kMaxDescriptors = 10000000;
+  const MachineLimits machine = ThisMachine();
+  MachineLimits limits;
+  limits.memoryBytes = aGiven.memory_mb() == 0
+                         ? machine.memoryBytes
+                         : kBytesPerMb * CheckRange(aGiven.memory_mb(),
+                                                    0,
+                                                    kMinMemoryMb,
+                                                    kMaxMemoryMb,
+                                                    "memory_mb",
+                                                    aErrors);
+  limits.descriptors = aGiven.max_descriptors() == 0
+                         ? machine.descriptors
+                         : CheckRange(aGiven.max_descriptors(),
+                                      0,
+                                      kMinDescriptors,
+                                      kMaxDescriptors,
+                                      "max_descriptors",
+                                      aErrors) -
+                             kFileDescriptors;
+  return limits;
+}
+
+} // namespace
+
 tl::expected<Settings, ValidationErrors>
 ParseSettings(const std::string& aJson)
 {
@@ -169,6 +204,7 @@
     given.balancer_delay_ms(), 1500, 1, 600000, "balancer_delay_ms", errors));
   settings.drainTimeout = Millis(
     CheckRange(given.drain_ms(), 600000, 1, 3600000, "drain_ms", errors));
+  settings.machine = ReadMachine(given, errors);
   settings.logLevel = given.log_level().empty() ? "info" : given.log_level();
   if (settings.logLevel != "info" && settings.logLevel != "error") {
     errors.push_back(ValidationError{
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -8,7 +8,9 @@
 #include "edge/Endpoint.h"
 #include "edge/PeerSocket.h"
 
+#include "coord/ClientLimits.h"
 #include <map>
+
 #include <string>
 #include <vector>
 
@@ -34,6 +36,7 @@
   Millis balancerRemovalDelay{ 1500 };
   Millis drainTimeout{ 600000 };
   std::string logLevel = "info";
+  MachineLimits machine; // what the process may use
 };
 
 /** Parses and validates a settings file in JSON. Thread safety: pure
--- a/src/edge/HttpConnectionPool.cpp
+++ b/src/edge/HttpConnectionPool.cpp
@@ -57,11 +57,34 @@
 std::unique_ptr<HttpConnection>
 HttpConnectionPool::Create(const Endpoint& aEndpoint)
 {
+  const bool hasRoom = this->clients.TryAddCall() ||
+                       (this->CloseLongestIdle() && this->clients.TryAddCall());
+  if (!hasRoom) {
+    return nullptr;
+  }
   return std::make_unique<HttpConnection>(
     HttpConnection{ boost::beast::tcp_stream(this->context),
                     boost::beast::flat_buffer(HttpConnection::kMaxBufferBytes),
                     aEndpoint,
-                    std::chrono::steady_clock::now() });
+                    std::chrono::steady_clock::now(),
+                    CountedCall(this->clients) });
+}
+
+bool
+HttpConnectionPool::CloseLongestIdle()
+{
+  std::vector<IdleConnection>* list = nullptr;
+  for (auto& [endpoint, idle] : this->idleConnections) {
+    const bool isLonger =
+      !idle.empty() &&
+      (list == nullptr || idle.front().idleSince < list->front().idleSince);
+    list = isLonger ? &idle : list;
+  }
+  if (list == nullptr) {
+    return false;
+  }
+  list->erase(list->begin());
+  return true;
 }
 
 void
--- a/src/edge/HttpConnectionPool.h
+++ b/src/edge/HttpConnectionPool.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ClientGuard.h"
 #include "Endpoint.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,23 @@
 
 namespace toucanshed {
 
+/** Counts a connection to another process in the ledger of clients until it is
+ * closed. */
+class CountedCall
+{
+public:
+  /** Precondition: aClients counts it already, and outlives this. */
+  explicit CountedCall(ClientGuard& aClients)
+    : clients(&aClients, &RemoveCall)
+  {
+  }
+
+private:
+  static void RemoveCall(ClientGuard* aClients) { aClients->RemoveCall(); }
+
+  std::unique_ptr<ClientGuard, void (*)(ClientGuard*)> clients;
+};
+
 /** A connection and the bytes read ahead from it. */
 struct HttpConnection
 {
@@ -26,6 +44,7 @@
   boost::beast::flat_buffer buffer;
   Endpoint endpoint;
   std::chrono::steady_clock::time_point opened;
+  CountedCall counted;
   /** How long the peer keeps it open while idle; 0 if the peer has not stated
    * it. */
   std::chrono::seconds keepAliveTimeout{ 0 };
@@ -36,15 +55,18 @@
 class HttpConnectionPool
 {
 public:
-  explicit HttpConnectionPool(boost::asio::io_context& aContext)
+  /** Precondition: both outlive this. */
+  HttpConnectionPool(boost::asio::io_context& aContext, ClientGuard& aClients)
     : context(aContext)
+    , clients(aClients)
   {
   }
 
   /** Returns an idle connection, or null if none has been idle for less than
    * the limit. */
   std::unique_ptr<HttpConnection> Acquire(const Endpoint& aEndpoint);
-  /** Returns a new, unconnected connection. */
+  /** Returns a new, unconnected connection. If the process has as many as it
+   * may, an idle one is closed for it; null if there is none. */
   std::unique_ptr<HttpConnection> Create(const Endpoint& aEndpoint);
   /** Returns a connection to the pool. Precondition: the last response on it
    * was read completely. */
@@ -73,11 +95,15 @@
 
   static bool IsReusable(const IdleConnection& aIdle,
                          std::chrono::steady_clock::time_point aNow);
+  /** Closes the connection that has been idle for longest. \return whether
+   * there was one */
+  bool CloseLongestIdle();
   /** Closes connections that have been idle for kMaxIdleTime. This covers
    * endpoints that are gone, for which Acquire is never called again. */
   void RemoveExpired(std::chrono::steady_clock::time_point aNow);
 
   boost::asio::io_context& context;
+  ClientGuard& clients;
   std::map<Endpoint, std::vector<IdleConnection>> idleConnections;
   std::chrono::steady_clock::time_point lastCleanup;
 };
--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -3,12 +3,15 @@
 #include "Worker.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <sstream>
 
 namespace toucanshed {
 
@@ -148,13 +151,19 @@
 }
 
 Task<std::optional<CallError>>
-HttpExchange::SendAndReadHead(HttpRequest& aRequest)
+HttpExchange::SendAndReadHead(const HttpRequest& aRequest,
+                              std::string_view aBody)
 {
   boost::system::error_code error;
   HttpConnection& current = *this->connection;
   current.stream.expires_after(this->timeouts.head);
-  co_await http::async_write(
-    current.stream, aRequest, net::redirect_error(net::use_awaitable, error));
+  std::ostringstream head;
+  head << aRequest.base();
+  const std::string text = head.str();
+  const std::array<net::const_buffer, 2> buffers{ net::buffer(text),
+                                                  net::buffer(aBody) };
+  co_await net::async_write(
+    current.stream, buffers, net::redirect_error(net::use_awaitable, error));
   if (error) {
     co_return this->FailCall(CallPhase::eSend, error);
   }
@@ -204,7 +213,8 @@
                    CallTimeouts aTimeouts,
                    bool aNewConnection,
                    std::shared_ptr<AbortHandle> aAbortHandle,
-                   PreSendCheck aPreSendCheck)
+                   PreSendCheck aPreSendCheck,
+                   std::string_view aSharedBody)
 {
   HttpExchange exchange;
   exchange.worker = &aWorker;
@@ -215,6 +225,12 @@
   }
   if (!exchange.connection) {
     exchange.connection = aWorker.connectionPool.Create(aEndpoint);
+    if (!exchange.connection) {
+      CallError noDescriptor;
+      noDescriptor.message = "no descriptor is left for a connection";
+      noDescriptor.noDescriptor = true;
+      co_return tl::unexpected<CallError>(std::move(noDescriptor));
+    }
     exchange.UpdateAbortHandle();
     const auto connectError = co_await exchange.Connect();
     if (connectError) {
@@ -230,13 +246,25 @@
   if (aRequest.find(http::field::host) == aRequest.end()) {
     aRequest.set(http::field::host, ToText(aEndpoint));
   }
-  const auto sendError = co_await exchange.SendAndReadHead(aRequest);
+  const std::string_view body =
+    aRequest.body().empty() ? aSharedBody : std::string_view(aRequest.body());
+  if (aRequest.chunked()) {
+    aRequest.content_length(body.size()); // it is sent whole
+  }
+  const auto sendError = co_await exchange.SendAndReadHead(aRequest, body);
   if (sendError) {
     co_return tl::unexpected<CallError>(*sendError);
   }
   co_return exchange;
 }
 
+std::optional<std::uint64_t>
+HttpExchange::ContentLength() const
+{
+  const auto length = this->parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 unsigned
 HttpExchange::Status() const
 {
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -33,6 +33,9 @@
   std::string message;
   /** Whether it failed on a connection that had served another call before. */
   bool reused = false;
+  /** Whether this process could open no connection; the peer is not at fault.
+   */
+  bool noDescriptor = false;
 };
 
 template<typename T>
@@ -87,6 +90,8 @@
 {
 public:
   /** Sends the request and reads the head of the response.
+   *  \param aSharedBody the request's body if aRequest has none of its own; it
+   *    is sent without a copy and must outlive the call
    *  \param aNewConnection open a new connection even if there is an idle one.
    *    For calls that must not be repeated, whose failure must be unambiguous.
    */
@@ -97,7 +102,8 @@
     CallTimeouts aTimeouts,
     bool aNewConnection = false,
     std::shared_ptr<AbortHandle> aAbortHandle = nullptr,
-    PreSendCheck aPreSendCheck = nullptr);
+    PreSendCheck aPreSendCheck = nullptr,
+    std::string_view aSharedBody = {});
   HttpExchange(HttpExchange&&) noexcept = default;
   HttpExchange& operator=(HttpExchange&&) noexcept = default;
   ~HttpExchange();
@@ -119,6 +125,9 @@
   [[nodiscard]] unsigned Status() const;
   [[nodiscard]] const http::fields& Headers() const;
 
+  /** The length of the body, if the response states it. */
+  [[nodiscard]] std::optional<std::uint64_t> ContentLength() const;
+
   /** Whether the body has neither a length nor chunks: it ends with its
    * connection, and one that was cut off may look complete. */
   [[nodiscard]] bool EndsWithConnection() const
@@ -141,7 +150,8 @@
   }
 
   Task<std::optional<CallError>> Connect();
-  Task<std::optional<CallError>> SendAndReadHead(HttpRequest& aRequest);
+  Task<std::optional<CallError>> SendAndReadHead(const HttpRequest& aRequest,
+                                                 std::string_view aBody);
   /** Reads the head of the final response; interim ones are skipped. */
   Task<std::optional<CallError>> ReadHead();
   /** When the next read fails for lack of progress or of time. */
--- a/src/edge/HttpResponder.cpp
+++ b/src/edge/HttpResponder.cpp
@@ -1,11 +1,12 @@
 #include "HttpResponder.h"
 
+#include "ClientGuard.h"
 #include "base/Invariant.h"
 
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <cstdio>
@@ -63,20 +64,48 @@
 }
 
 Task<bool>
-HttpResponder::WriteRaw(std::string aText)
+HttpResponder::WriteAll(std::string_view aHead, std::string_view aBody)
 {
   if (this->writeFailed) {
     co_return false;
   }
-  boost::system::error_code error;
+  const std::array<net::const_buffer, 2> buffers{ net::buffer(aHead),
+                                                  net::buffer(aBody) };
+  boost::beast::buffers_suffix<std::array<net::const_buffer, 2>> rest(buffers);
+  std::size_t left = aHead.size() + aBody.size();
+  this->place->SetStage(ClientStage::eWriting);
   this->stream.expires_after(kWriteTimeout);
-  co_await net::async_write(this->stream,
-                            net::buffer(aText),
-                            net::redirect_error(net::use_awaitable, error));
+  boost::system::error_code error;
+  while (left > 0 && !error) {
+    const std::size_t written = co_await this->stream.async_write_some(
+      rest, net::redirect_error(net::use_awaitable, error));
+    rest.consume(written);
+    left -= written;
+    this->place->RecordMoved(written);
+  }
+  this->place->SetStage(ClientStage::eRunning);
   this->writeFailed = static_cast<bool>(error);
   co_return !this->writeFailed;
 }
 
+Task<bool>
+HttpResponder::WriteRaw(std::string aText)
+{
+  co_return co_await this->WriteAll(aText, {});
+}
+
+Task<bool>
+HttpResponder::HoldResponse(std::size_t aBytes)
+{
+  // Small ones are part of what is held for the request.
+  constexpr std::size_t kSmallBytes = std::size_t{ 16 } << 10U;
+  if (aBytes <= kSmallBytes ||
+      aBytes <= this->place->Held(HeldBytes::eResponse)) {
+    co_return true;
+  }
+  co_return co_await this->place->Hold(HeldBytes::eResponse, aBytes);
+}
+
 Task<bool>
 HttpResponder::Send(HttpResponse aResponse)
 {
@@ -85,12 +114,18 @@
   this->ended = true;
   aResponse.keep_alive(this->keepAlive);
   aResponse.prepare_payload();
-  boost::system::error_code error;
-  this->stream.expires_after(kWriteTimeout);
-  co_await http::async_write(
-    this->stream, aResponse, net::redirect_error(net::use_awaitable, error));
-  this->writeFailed = static_cast<bool>(error);
-  co_return !this->writeFailed;
+  const bool held = co_await this->HoldResponse(aResponse.body().capacity());
+  if (!held) {
+    this->writeFailed = true; // the connection is closed without a response
+    co_return false;
+  }
+  std::ostringstream head;
+  head << aResponse.base();
+  const std::string text = head.str();
+  const bool sent = co_await this->WriteAll(text, aResponse.body());
+  const bool released = this->place->TryHold(HeldBytes::eResponse, 0);
+  Invariant(released, "fewer bytes are always held");
+  co_return sent;
 }
 
 Task<bool>
--- a/src/edge/HttpResponder.h
+++ b/src/edge/HttpResponder.h
@@ -5,6 +5,7 @@
 
 #include "HttpTypes.h"
 #include "Task.h"
+#include "coord/ClientLedger.h"
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
@@ -12,6 +13,8 @@
 
 namespace toucanshed {
 
+class ClientPlace;
+
 /**
  * The writing methods return false once the receiver has disconnected.
  *
@@ -20,8 +23,12 @@
 class HttpResponder
 {
 public:
-  HttpResponder(boost::beast::tcp_stream& aStream, bool aKeepAlive)
+  /** Precondition: the stream and the place outlive this. */
+  HttpResponder(boost::beast::tcp_stream& aStream,
+                bool aKeepAlive,
+                ClientPlace* aPlace)
     : stream(aStream)
+    , place(aPlace)
     , keepAlive(aKeepAlive)
   {
   }
@@ -52,6 +59,8 @@
   /** Whether the receiver has closed its side, asked of the kernel: a late loop
    * calls aOnDisconnect only seconds after. */
   [[nodiscard]] bool HasReceiverLeft();
+  /** The receiver's place in the ledger of clients. */
+  [[nodiscard]] ClientPlace& Place() { return *this->place; }
   /** Closes the connection after this response. */
   void DisableKeepAlive() { this->keepAlive = false; }
 
@@ -70,8 +79,13 @@
   };
 
   Task<bool> WriteRaw(std::string aText);
+  /** Writes aHead and aBody, one after the other. */
+  Task<bool> WriteAll(std::string_view aHead, std::string_view aBody);
+  /** Holds a response while it is written. \return whether there is room */
+  Task<bool> HoldResponse(std::size_t aBytes);
 
   boost::beast::tcp_stream& stream;
+  ClientPlace* place;
   bool keepAlive;
   std::shared_ptr<DisconnectWatch> disconnectWatch;
   bool started = false;
--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -1,12 +1,10 @@
 #include "HttpServer.h"
 
+#include "RequestReader.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace toucanshed {
 
@@ -29,39 +27,24 @@
   ScopedCount& operator=(const ScopedCount&) = delete;
 };
 
-/** Cancels a read after a timeout, but keeps the connection open. The stream's
- * own timeout would close it, but a sender that is too slow must still get the
- * response that says so. */
-class ReadTimeout
-{
-public:
-  ReadTimeout(boost::beast::tcp_stream& aStream,
-              std::chrono::milliseconds aTimeout)
-    : timer(aStream.get_executor())
-    , timedOut(std::make_shared<bool>(false))
-  {
-    this->timer.expires_after(aTimeout);
-    this->timer.async_wait([flag = this->timedOut,
-                            &aStream](const boost::system::error_code& aError) {
-      if (!aError) {
-        *flag = true;
-        aStream.socket().cancel();
-      }
-    });
-  }
+/** Time for which what a rejected client still sends is discarded. A connection
+ * that is closed with unread bytes is reset, and the client may then lose the
+ * response. */
+constexpr std::chrono::milliseconds kDiscardTimeout{ 500 };
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 256 } << 10U;
 
-  [[nodiscard]] bool HasTimedOut() const { return *this->timedOut; }
-
-private:
-  net::steady_timer timer; // destroying it cancels the wait
-  std::shared_ptr<bool> timedOut;
-};
+/** When a client may come back for which there was no room. */
+constexpr const char* kRetryAfterSeconds = "1";
+constexpr unsigned kServiceUnavailable = 503;
+/** What is read at once. */
+constexpr std::size_t kReadBytes = 4096;
 
 unsigned
 StatusOf(const boost::system::error_code& aError)
 {
-  if (aError == http::error::header_limit) {
-    return 431;
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return 431; // also for trailers
   }
   if (aError == http::error::body_limit) {
     return 413;
@@ -80,13 +63,49 @@
          aError == net::error::connection_reset;
 }
 
+HttpResponse
+MakeRejection(const ReadFailure& aFailure)
+{
+  const std::string reason =
+    aFailure.noRoom ? "no room for the request" : aFailure.error.message();
+  const std::string type = aFailure.noRoom ? "no_room" : "bad_request";
+  const std::string body =
+    R"({"error":{"type":")" + type + R"(","message":")" + reason + "\"}}\n";
+  HttpResponse response = MakeResponse(
+    aFailure.noRoom ? kServiceUnavailable : StatusOf(aFailure.error), body);
+  response.set("Toucanshed-Outcome", "not-run");
+  if (aFailure.noRoom) {
+    response.set(http::field::retry_after, kRetryAfterSeconds);
+  }
+  return response;
+}
+
+/** Discards what a client still sends, for a short time. */
+Task<void>
+DiscardInput(ClientConnection& aConnection)
+{
+  aConnection.place->SetStage(ClientStage::eIdle);
+  boost::system::error_code error;
+  aConnection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  aConnection.buffer.clear();
+  aConnection.stream.expires_after(kDiscardTimeout);
+  std::size_t discarded = 0;
+  while (!error && discarded < kMaxDiscardedBytes) {
+    discarded += co_await aConnection.stream.async_read_some(
+      aConnection.buffer.prepare(kReadBytes),
+      net::redirect_error(net::use_awaitable, error));
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(WorkerPool& aPool,
                        HttpLimits aLimits,
-                       HttpHandler aHandler)
+                       HttpHandler aHandler,
+                       double aPart)
   : pool(aPool)
-  , limits(aLimits)
+  , port(aPool.Clients().AddPort(aPart))
+  , limits(std::move(aLimits))
   , handler(std::move(aHandler))
 {
 }
@@ -165,79 +184,94 @@
       co_await Sleep(std::chrono::milliseconds(20));
       continue;
     }
-    worker.Spawn(this->ServeConnection(worker, std::move(socket)));
+    socket.set_option(tcp::no_delay(true), error);
+    auto connection = std::make_unique<ClientConnection>(ClientConnection{
+      boost::beast::tcp_stream(std::move(socket)), {}, nullptr });
+    connection->place =
+      ClientPlace::Open(this->pool.Clients(), this->port, connection->stream);
+    if (connection->place != nullptr) {
+      worker.Spawn(this->ServeConnection(worker, std::move(connection)));
+    }
   }
 }
 
 Task<void>
-HttpServer::ServeConnection(Worker& aWorker, tcp::socket aSocket)
+HttpServer::ServeConnection(Worker& aWorker,
+                            std::unique_ptr<ClientConnection> aConnection)
 {
-  boost::system::error_code ignored;
-  aSocket.set_option(tcp::no_delay(true), ignored);
-  boost::beast::tcp_stream stream(std::move(aSocket));
-  boost::beast::flat_buffer buffer;
   bool keepOpen = true;
   while (keepOpen && !this->closing) {
-    keepOpen = co_await this->ServeRequest(aWorker, stream, buffer);
+    keepOpen = co_await this->ServeRequest(aWorker, *aConnection);
+    RequestReader::Release(*aConnection);
+    keepOpen = keepOpen && !aConnection->place->IsClosing();
   }
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  boost::system::error_code ignored;
+  aConnection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 Task<bool>
-HttpServer::ServeRequest(Worker& aWorker,
-                         boost::beast::tcp_stream& aStream,
-                         boost::beast::flat_buffer& aBuffer)
+HttpServer::AwaitRequest(ClientConnection& aConnection)
 {
+  if (aConnection.buffer.size() > 0) {
+    co_return true;
+  }
+  aConnection.place->SetStage(ClientStage::eIdle);
+  aConnection.stream.expires_after(this->limits.idleTimeout);
+  const auto idleWait = this->RegisterIdleWait(aConnection.stream);
   boost::system::error_code error;
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(this->limits.maxHeaderBytes);
-  parser.body_limit(this->limits.maxBodyBytes);
-  if (aBuffer.size() == 0) {
-    aStream.expires_after(this->limits.idleTimeout);
-    const auto idleWait = this->RegisterIdleWait(aStream);
-    const std::size_t received = co_await aStream.async_read_some(
-      aBuffer.prepare(4096), net::redirect_error(net::use_awaitable, error));
-    idleWait->stream = nullptr;
-    if (error) {
-      co_return false;
-    }
-    aBuffer.commit(received);
+  const std::size_t received = co_await aConnection.stream.async_read_some(
+    aConnection.buffer.prepare(kReadBytes),
+    net::redirect_error(net::use_awaitable, error));
+  idleWait->stream = nullptr;
+  aConnection.buffer.commit(received);
+  aConnection.stream.expires_never();
+  co_return !error;
+}
+
+Task<bool>
+HttpServer::ServeRequest(Worker& aWorker, ClientConnection& aConnection)
+{
+  const bool begun = co_await this->AwaitRequest(aConnection);
+  if (!begun) {
+    co_return false;
   }
-  aStream.expires_never();
+  aConnection.place->SetStage(ClientStage::eReading);
+  const HttpLimits requestLimits = this->limits; // they may change meanwhile
+  tl::expected<HttpRequest, ReadFailure> request;
   {
-    const ReadTimeout limit(aStream, this->limits.requestTimeout);
-    co_await http::async_read(
-      aStream, aBuffer, parser, net::redirect_error(net::use_awaitable, error));
-    if (limit.HasTimedOut()) {
-      error = boost::beast::error::timeout;
-    }
+    RequestReader reader(aConnection, requestLimits);
+    request = co_await reader.Read();
   }
-  if (error) {
-    if (!IsPeerClosed(error)) {
-      co_await RejectBadInput(aStream, error);
+  if (!request) {
+    if (request.error().noRoom || !IsPeerClosed(request.error().error)) {
+      co_await this->Reject(aConnection, std::move(request.error()));
     }
     co_return false;
   }
-  aStream.expires_never();
+  aConnection.place->SetStage(ClientStage::eRunning);
   const ScopedCount counted(this->inProgress);
-  const HttpRequest request = parser.release();
   const bool closeAfter = this->closing || this->closeAnnounced;
-  HttpResponder responder(aStream, request.keep_alive() && !closeAfter);
-  co_await this->handler(aWorker, request, responder);
+  HttpResponder responder(aConnection.stream,
+                          request->keep_alive() && !closeAfter,
+                          aConnection.place.get());
+  co_await this->handler(aWorker, *request, responder);
   co_return responder.IsConnectionReusable();
 }
 
 Task<void>
-HttpServer::RejectBadInput(boost::beast::tcp_stream& aStream,
-                           boost::system::error_code aError)
+HttpServer::Reject(ClientConnection& aConnection, ReadFailure aFailure)
 {
-  HttpResponder responder(aStream, false);
-  const std::string body = R"({"error":{"type":"bad_request","message":")" +
-                           aError.message() + "\"}}\n";
-  HttpResponse response = MakeResponse(StatusOf(aError), body);
-  response.set("Toucanshed-Outcome", "not-run");
-  this->limits.onRejection(response);
-  co_await responder.Send(std::move(response));
+  if (aFailure.noRoom) {
+    this->pool.Clients().CountRefusal();
+  }
+  RequestReader::Release(aConnection);
+  HttpResponse response = MakeRejection(aFailure);
+  this->limits.onRejection(aFailure.fields, response);
+  HttpResponder responder(aConnection.stream, false, aConnection.place.get());
+  const bool sent = co_await responder.Send(std::move(response));
+  if (sent && !this->closing) {
+    co_await DiscardInput(aConnection);
+  }
 }
 
 } // namespace toucanshed
--- a/src/edge/HttpServer.h
+++ b/src/edge/HttpServer.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ClientGuard.h"
 #include "HttpResponder.h"
 #include "HttpTypes.h"
 #include "Task.h"
@@ -25,26 +26,42 @@
   /** Time from the first byte of a request until it must be complete. */
   std::chrono::milliseconds requestTimeout{ 10000 };
   std::chrono::milliseconds idleTimeout{ 60000 };
-  /** Completes the responses that reject bad input before the handler runs. */
-  std::function<void(HttpResponse&)> onRejection = [](HttpResponse&) {};
+  /** Times that the handler holds a request's body, beside what it was read
+   * into. */
+  std::size_t bodyCopies = 1;
+  /** Completes the responses to requests that are rejected before the handler
+   * runs: bad input, and requests for which there is no room. The fields are
+   * the request's, and empty when its head is incomplete. */
+  std::function<void(const http::fields&, HttpResponse&)> onRejection =
+    [](const http::fields&, HttpResponse&) {};
 };
 
-/** Handles one request and responds through the responder. */
+struct ClientConnection;
+struct ReadFailure;
+
+/** Handles one request and responds through the responder. The request may be
+ * changed. */
 using HttpHandler =
-  std::function<Task<void>(Worker&, const HttpRequest&, HttpResponder&)>;
+  std::function<Task<void>(Worker&, HttpRequest&, HttpResponder&)>;
 
 /**
  * The server rejects bad input itself, so that it never reaches the handler: a
  * head over the limit with 431, a body over the limit with 413, a slow or
  * incomplete request with 408, other input that is not HTTP with 400. Other
- * connections are not affected.
+ * connections are not affected. A request for which the process has no room is
+ * rejected with 503; it was not run.
  *
  * Thread safety: Close and InProgress may be called from any thread.
  */
 class HttpServer
 {
 public:
-  HttpServer(WorkerPool& aPool, HttpLimits aLimits, HttpHandler aHandler);
+  /** \param aPart the port's own part of what the process may hold for its
+   *   clients, see ClientLedger */
+  HttpServer(WorkerPool& aPool,
+             HttpLimits aLimits,
+             HttpHandler aHandler,
+             double aPart = 0);
 
   /** Binds and starts to accept connections. */
   Result<void> Listen(const Endpoint& aEndpoint);
@@ -74,14 +91,15 @@
   std::shared_ptr<IdleWait> RegisterIdleWait(boost::beast::tcp_stream& aStream);
   Task<void> Accept();
   Task<void> ServeConnection(Worker& aWorker,
-                             boost::asio::ip::tcp::socket aSocket);
-  Task<bool> ServeRequest(Worker& aWorker,
-                          boost::beast::tcp_stream& aStream,
-                          boost::beast::flat_buffer& aBuffer);
-  Task<void> RejectBadInput(boost::beast::tcp_stream& aStream,
-                            boost::system::error_code aError);
+                             std::unique_ptr<ClientConnection> aConnection);
+  /** Waits for the first byte of a request. \return whether it came */
+  Task<bool> AwaitRequest(ClientConnection& aConnection);
+  /** \return whether the connection may serve another request */
+  Task<bool> ServeRequest(Worker& aWorker, ClientConnection& aConnection);
+  Task<void> Reject(ClientConnection& aConnection, ReadFailure aFailure);
 
   WorkerPool& pool;
+  std::size_t port; // in the ledger of clients
   HttpLimits limits;
   HttpHandler handler;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
--- a/src/edge/Worker.h
+++ b/src/edge/Worker.h
@@ -20,8 +20,15 @@
  */
 struct Worker
 {
+  /** Precondition: the guard outlives the worker. */
+  explicit Worker(ClientGuard& aClients)
+    : connectionPool(context, aClients)
+    , responseBuffers{ aClients }
+  {
+  }
+
   boost::asio::io_context context{ 1 };
-  HttpConnectionPool connectionPool{ context };
+  HttpConnectionPool connectionPool;
   ResponseBufferPool responseBuffers;
 
   /** Starts a coroutine on this worker. An exception that it throws is a
--- a/src/edge/WorkerPool.cpp
+++ b/src/edge/WorkerPool.cpp
@@ -1,13 +1,16 @@
 #include "WorkerPool.h"
 
+#include "Machine.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 
 namespace toucanshed {
 
 WorkerPool::WorkerPool(std::size_t aCount)
+  : clients(ClientLimits::Of(ThisMachine()))
 {
   for (std::size_t i = 0; i < aCount; ++i) {
-    this->workers.push_back(std::make_unique<Worker>());
+    this->workers.push_back(std::make_unique<Worker>(this->clients));
   }
 }
 
--- a/src/edge/WorkerPool.h
+++ b/src/edge/WorkerPool.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ClientGuard.h"
 #include "Worker.h"
 
 #include <atomic>
@@ -16,7 +17,8 @@
 class WorkerPool
 {
 public:
-  /** Precondition: aCount > 0. */
+  /** What the process may hold for its clients follows the machine that it
+   * runs on. Precondition: aCount > 0. */
   explicit WorkerPool(std::size_t aCount);
 
   /** Returns the workers in turn, to spread connections over them. */
@@ -27,11 +29,15 @@
     return this->workers;
   }
 
+  /** What the process holds for its clients. */
+  ClientGuard& Clients() { return this->clients; }
+
   /** Runs all workers until Stop. The first one runs on the calling thread. */
   void Run();
   void Stop();
 
 private:
+  ClientGuard clients; // outlives the workers' connections
   std::vector<std::unique_ptr<Worker>> workers;
   std::atomic<std::size_t> nextIndex{ 0 };
 };
--- a/src/serve/CallerHandler.cpp
+++ b/src/serve/CallerHandler.cpp
@@ -263,7 +263,7 @@
 
 Task<void>
 HandleRelayedRequest(ServingState& aState,
-                     const HttpRequest& aMessage,
+                     HttpRequest& aMessage,
                      HttpResponder& aResponder)
 {
   if (aMessage.target() == kCatalogPath) {
@@ -272,10 +272,9 @@
   }
   const InProgressGuard inProgress(aState.inProgress);
   const InProgressGuard relayInProgress(aState.relaysInProgress);
-  HttpRequest message = aMessage;
-  const auto terms = TakeRelayTerms(message);
+  const auto terms = TakeRelayTerms(aMessage);
   auto incoming =
-    terms ? aState.wire.callers.read(message) : tl::unexpected(terms.error());
+    terms ? aState.wire.callers.read(aMessage) : tl::unexpected(terms.error());
   if (!incoming) {
     Refusal refusal{ kBadRequest, incoming.error().message, std::nullopt, {} };
     AttemptId unknown;
--- a/src/serve/CallerHandler.h
+++ b/src/serve/CallerHandler.h
@@ -20,10 +20,11 @@
                     HttpResponder& aResponder);
 
 /** The same for a request that another daemon has admitted and hands over, as
- * it reaches no engine. It is never handed on again. */
+ * it reaches no engine. It is never handed on again. What the other daemon has
+ * added to the message is taken out. */
 Task<void>
 HandleRelayedRequest(ServingState& aState,
-                     const HttpRequest& aMessage,
+                     HttpRequest& aMessage,
                      HttpResponder& aResponder);
 
 } // namespace toucanshed
--- a/src/serve/LocalResponses.cpp
+++ b/src/serve/LocalResponses.cpp
@@ -25,6 +25,18 @@
 
 } // namespace
 
+void
+SetRetryAfter(Millis aDelay, HttpResponse& aResponse)
+{
+  constexpr double kMillis = 1000;
+  std::array<char, 32> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%.3f",
+                static_cast<double>(aDelay.count()) / kMillis);
+  aResponse.set(http::field::retry_after, text.data());
+}
+
 HttpResponse
 MakeLocalResponse(const ServingState& aState,
                   const AttemptId& aAttempt,
@@ -37,13 +49,7 @@
   HttpResponse response =
     MakeResponse(aStatus, boost::json::serialize(body) + "\n");
   if (aRetryAfter) {
-    constexpr double kMillis = 1000;
-    std::array<char, 32> text{};
-    std::snprintf(text.data(),
-                  text.size(),
-                  "%.3f",
-                  static_cast<double>(aRetryAfter->count()) / kMillis);
-    response.set(http::field::retry_after, text.data());
+    SetRetryAfter(*aRetryAfter, response);
   }
   aState.wire.callers.completeLocalResponse(aAttempt, response);
   return response;
--- a/src/serve/LocalResponses.h
+++ b/src/serve/LocalResponses.h
@@ -14,6 +14,10 @@
 
 struct ServingState;
 
+/** States in a response when the caller may try again. */
+void
+SetRetryAfter(Millis aDelay, HttpResponse& aResponse);
+
 /** Makes a response with a human-readable reason.
  * \param aRetryAfter when the caller may try again; only where the request has
  * not run. */
--- a/src/serve/PeerSend.cpp
+++ b/src/serve/PeerSend.cpp
@@ -149,7 +149,8 @@
   terms.timeLeft = this->TimeLeft();
   terms.catalogVersion = this->request.catalog->version;
   terms.resumeAfter = this->splitter.LastId();
-  HttpRequest message = *this->request.incoming.message;
+  const HttpRequest& original = *this->request.incoming.message;
+  HttpRequest message{ http::request_header<>(original.base()) };
   WriteRelayTerms(terms, message);
   const Millis timeout =
     std::min(this->TimeLeft(), kPeerTimeoutFactor * this->AttemptTimeout());
@@ -161,7 +162,9 @@
                                               std::move(message),
                                               timeouts,
                                               false,
-                                              this->abort);
+                                              this->abort,
+                                              nullptr,
+                                              original.body());
   SendOutcome outcome = SendOutcome::eNotRun;
   if (exchange) {
     this->retryInFlight.reset();
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -456,14 +456,17 @@
     confirmed = this->ConfirmSend();
     return confirmed;
   };
-  auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
-                                              *endpoint,
-                                              std::move(message),
-                                              timeouts,
-                                              false,
-                                              this->abort,
-                                              std::move(confirm));
+  auto exchange =
+    co_await HttpExchange::Open(this->state.pool.First(),
+                                *endpoint,
+                                std::move(message),
+                                timeouts,
+                                false,
+                                this->abort,
+                                std::move(confirm),
+                                this->request.incoming.message->body());
   SendOutcome outcome = SendOutcome::eNotRun;
+  bool noDescriptor = false;
   if (exchange) {
     this->retryInFlight.reset();
     outcome = co_await this->Relay(*exchange, aPlacement);
@@ -472,9 +475,10 @@
     outcome = this->ClassifyError(exchange.error());
     this->lastFailure =
       confirmed ? exchange.error().message : this->lastFailure;
+    noDescriptor = exchange.error().noDescriptor;
   }
   const bool notConnected =
-    !exchange && confirmed && outcome == SendOutcome::eNotRun;
+    !exchange && confirmed && !noDescriptor && outcome == SendOutcome::eNotRun;
   if (!exchange && outcome == SendOutcome::eNotRun) {
     --this->sends; // nothing was sent, so the next send repeats nothing
     this->ReturnUnsentRetry();
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -2,10 +2,13 @@
 
 #include "CallerHandler.h"
 #include "CatalogSync.h"
+#include "LocalResponses.h"
+#include "RelayFields.h"
 #include "RetryReports.h"
 #include "RolloutMonitor.h"
 #include "StoreWatcher.h"
 #include "base/LogWriter.h"
+#include "edge/ClientMetrics.h"
 #include "edge/Worker.h"
 
 #include <array>
@@ -30,9 +33,27 @@
 /** Part of the grace period that is left for the exit itself. */
 constexpr Millis kExitReserve{ 700 };
 constexpr Millis kStopPollInterval{ 50 };
+/** The largest body of a request for readiness or metrics. */
+constexpr std::uint64_t kMaxProbeBodyBytes = 4096;
+// Parts of what the process may hold for its clients, see ClientLedger.
+constexpr double kCallersPart = 0.4;
+constexpr double kRelaysPart = 0.2;
+constexpr double kProbesPart = 0.04;
+/** A caller for whom there is no room returns within about this time. */
+constexpr Millis kReturnTime{ 3000 };
+/** Ticks between two reports of clients that were refused or closed. */
+constexpr int kClientReportTicks = 10;
 /** Room for what one daemon adds to the head of a request for another. */
 constexpr std::uint32_t kRelayHeaderBytes = 1024;
 
+HttpLimits
+ProbeLimits()
+{
+  HttpLimits limits;
+  limits.maxBodyBytes = kMaxProbeBodyBytes;
+  return limits;
+}
+
 } // namespace
 
 ServingDaemon::ServingDaemon(ServingSettings aSettings,
@@ -49,29 +70,95 @@
   , reach(state)
   , callers(
       state.pool,
-      HttpLimits{},
+      MakeLimits(Port::eCallers, RequestLimits{}),
       [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
         return HandleCallerRequest(this->state, aRequest, aResponder);
-      })
+      },
+      kCallersPart)
   , relays(
       state.pool,
-      HttpLimits{},
-      [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+      MakeLimits(Port::eRelays, RequestLimits{}),
+      [this](Worker&, HttpRequest& aRequest, HttpResponder& aResponder) {
         return HandleRelayedRequest(this->state, aRequest, aResponder);
-      })
-  , readiness(state.pool,
-              HttpLimits{},
-              [this](Worker&, const HttpRequest&, HttpResponder& aResponder) {
-                return this->SendReadiness(aResponder);
-              })
-  , metrics(state.pool,
-            HttpLimits{},
-            [this](Worker&, const HttpRequest&, HttpResponder& aResponder) {
-              return this->SendMetrics(aResponder);
-            })
+      },
+      kRelaysPart)
+  , readiness(
+      state.pool,
+      ProbeLimits(),
+      [this](Worker&, const HttpRequest&, HttpResponder& aResponder) {
+        return this->SendReadiness(aResponder);
+      },
+      kProbesPart)
+  , metrics(
+      state.pool,
+      ProbeLimits(),
+      [this](Worker&, const HttpRequest&, HttpResponder& aResponder) {
+        return this->SendMetrics(aResponder);
+      },
+      kProbesPart)
   , stopSignals(state.pool.First().context, SIGTERM, SIGINT)
   , reloadSignals(state.pool.First().context, SIGHUP)
 {
+  if (const auto& machine = this->state.settings.machine) {
+    this->state.pool.Clients().SetLimits(ClientLimits::Of(*machine));
+  }
+}
+
+HttpLimits
+ServingDaemon::MakeLimits(Port aPort, const RequestLimits& aLimits)
+{
+  HttpLimits limits;
+  limits.maxHeaderBytes = aLimits.maxHeaderBytes;
+  limits.maxBodyBytes = aLimits.maxBodyBytes;
+  limits.requestTimeout = aLimits.headerTimeout;
+  limits.idleTimeout = aLimits.idleTimeout;
+  if (aPort == Port::eRelays) {
+    limits.maxHeaderBytes += kRelayHeaderBytes;
+  }
+  limits.onRejection = [this, aPort](const http::fields& aFields,
+                                     HttpResponse& aResponse) {
+    this->CompleteRejection(aPort, aFields, aResponse);
+  };
+  return limits;
+}
+
+void
+ServingDaemon::CompleteRejection(Port aPort,
+                                 const http::fields& aFields,
+                                 HttpResponse& aResponse)
+{
+  const CallerFormat& format = this->state.wire.callers;
+  format.completeLocalResponse(format.attemptOf(aFields), aResponse);
+  this->state.metrics.Count("toucanshed_bad_input_total",
+                            "status=\"" +
+                              std::to_string(aResponse.result_int()) + "\"");
+  if (aResponse.result_int() == kServiceUnavailable) {
+    SetRetryAfter(RetryDelayFor(this->state, kReturnTime), aResponse);
+  }
+  if (aPort == Port::eRelays) {
+    WriteRelayOutcome({ RelayOutcome::Kind::eRefused, 0, std::nullopt },
+                      aResponse);
+  }
+}
+
+void
+ServingDaemon::ReportClients()
+{
+  const ClientUsage usage = this->state.pool.Clients().Usage();
+  const bool changed =
+    usage.refused != this->reportedClients.refused ||
+    usage.closedForRoom != this->reportedClients.closedForRoom;
+  if (!changed) {
+    return;
+  }
+  this->state.log.Emit(
+    Event("clients.no_room")
+      .With("refused", usage.refused - this->reportedClients.refused)
+      .With("closed", usage.closedForRoom - this->reportedClients.closedForRoom)
+      .With("connections", usage.connections)
+      .With("request_bytes", usage.requestBytes)
+      .With("response_bytes", usage.responseBytes));
+  this->reportedClients = usage;
 }
 
 Result<void>
@@ -136,6 +223,7 @@
 Task<void>
 ServingDaemon::SendMetrics(HttpResponder& aResponder)
 {
+  RecordClientUsage(this->state.pool.Clients().Usage(), this->state.metrics);
   HttpResponse response = MakeResponse(
     kOk, this->state.metrics.ToPrometheusText(), "text/plain; version=0.0.4");
   co_await aResponder.Send(std::move(response));
@@ -166,23 +254,21 @@
 ServingDaemon::Housekeeping()
 {
   std::uint64_t appliedVersion = 0;
-  while (true) {
+  for (int tick = 1;; ++tick) {
     // Also the interval of log lines: a killed process loses those of one.
     co_await Sleep(ServingState::kTickInterval);
     this->RecordTick();
     ReportRetries(this->state);
+    if (tick % kClientReportTicks == 0) {
+      this->ReportClients();
+    }
     this->logWriter.Flush();
     const auto& catalog = this->state.catalog;
     if (catalog != nullptr && catalog->version != appliedVersion) {
       appliedVersion = catalog->version;
-      HttpLimits limits;
-      limits.maxHeaderBytes = catalog->requestLimits.maxHeaderBytes;
-      limits.maxBodyBytes = catalog->requestLimits.maxBodyBytes;
-      limits.requestTimeout = catalog->requestLimits.headerTimeout;
-      limits.idleTimeout = catalog->requestLimits.idleTimeout;
-      this->callers.SetLimits(limits);
-      limits.maxHeaderBytes += kRelayHeaderBytes;
-      this->relays.SetLimits(std::move(limits));
+      const RequestLimits& limits = catalog->requestLimits;
+      this->callers.SetLimits(this->MakeLimits(Port::eCallers, limits));
+      this->relays.SetLimits(this->MakeLimits(Port::eRelays, limits));
     }
   }
 }
--- a/src/serve/ServingDaemon.h
+++ b/src/serve/ServingDaemon.h
@@ -36,6 +36,23 @@
   void Run();
 
 private:
+  /** The ports whose requests are forwarded. */
+  enum class Port
+  {
+    eCallers,
+    eRelays,
+  };
+
+  /** The limits of requests at a port, by the configuration's. */
+  HttpLimits MakeLimits(Port aPort, const RequestLimits& aLimits);
+  /** Completes the response to a request that is rejected before it is
+   * handled. */
+  void CompleteRejection(Port aPort,
+                         const http::fields& aFields,
+                         HttpResponse& aResponse);
+  /** Logs how many clients were refused or closed for lack of room since the
+   * last report, if any was. */
+  void ReportClients();
   Task<void> StopOnSignal();
   Task<void> ReloadOnSignal();
   Task<void> StopGracefully();
@@ -61,6 +78,7 @@
   boost::asio::signal_set reloadSignals;
   Millis maxLag{ 0 }; // since the last change of loopLate
   bool loopLate = false;
+  ClientUsage reportedClients; // at the last report
 };
 
 } // namespace toucanshed
--- a/src/serve/ServingSettings.h
+++ b/src/serve/ServingSettings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Types.h"
+#include "coord/ClientLimits.h"
 #include "edge/Endpoint.h"
 
 #include <map>
@@ -55,6 +56,8 @@
   bool reportsUsage = false;
   bool scalesEngines = false;
   ServingBounds bounds;
+  /** What the process may use; nothing: what the machine itself says. */
+  std::optional<MachineLimits> machine;
 };
 
 } // namespace toucanshed
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -64,6 +64,8 @@
   /** Reads a request; the error's message describes to the caller what is
    * wrong. */
   std::function<Result<IncomingRequest>(const HttpRequest&)> read;
+  /** The request's attempt id; empty when the fields have none, or several. */
+  std::function<AttemptId(const http::fields&)> attemptOf;
   /** Adds the protocol's fields to a response of the daemon itself. */
   std::function<void(const AttemptId&, HttpResponse&)> completeLocalResponse;
 };
@@ -71,6 +73,8 @@
 /** The back ends' protocol. */
 struct BackendFormat
 {
+  /** Writes the head of the request to a back end. The body is the incoming
+   * request's, and is not copied. */
   std::function<HttpRequest(const IncomingRequest&, const SendContext&)> write;
   std::function<BackendResponseHead(unsigned aStatus, const http::fields&)>
     read;
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -362,7 +362,7 @@
   this->peerServers.push_back(std::make_unique<HttpServer>(
     this->peerState->pool,
     HttpLimits{},
-    [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+    [this](Worker&, HttpRequest& aRequest, HttpResponder& aResponder) {
       return HandleRelayedRequest(*this->peerState, aRequest, aResponder);
     }));
   const Endpoint relays(boost::asio::ip::address_v4::loopback(), peerPort);
--- /dev/null
+++ b/test/ServedPlatform.cpp
@@ -0,0 +1,245 @@
+#include "ServedPlatform.h"
+
+#include "CallerSocket.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <stdexcept>
+
+namespace toucanshed::test {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis kEntryInterval{ 300 };
+constexpr Millis kStartTimeout{ 30000 };
+constexpr Millis kStartPollInterval{ 50 };
+constexpr int kEngineSlots = 6;
+constexpr int kRouteTimeoutMs = 5000;
+/** Of the descriptors, those that the platform keeps for files. */
+constexpr std::size_t kFileDescriptors = 200;
+
+json::object
+RouteText(const char* aName, const char* aKind)
+{
+  constexpr int kTargetMs = 200;
+  return json::object{ { "name", aName },
+                       { "host", "service.example" },
+                       { "path_prefix", std::string("/") + aName + "/" },
+                       { "kind", aKind },
+                       { "timeout_ms", kRouteTimeoutMs },
+                       { "target_latency_ms", kTargetMs },
+                       { "gap_aim_ms", kTargetMs },
+                       { "priority", 1 },
+                       { "service", "plain" },
+                       { "max_attempts", 2 },
+                       { "resumable", false } };
+}
+
+std::string
+CatalogText(const PlatformLimits& aLimits)
+{
+  const json::object team{ { "name", "team-one" },
+                           { "api_keys", json::array{ "key-one" } } };
+  const json::object limits{
+    { "max_header_bytes", 16384 },
+    { "max_body_bytes", aLimits.maxBodyBytes },
+    { "header_timeout_ms", aLimits.headerTimeout.count() },
+    { "idle_timeout_ms", aLimits.idleTimeout.count() }
+  };
+  return json::serialize(json::object{
+    { "version", 1 },
+    { "routes",
+      json::array{ RouteText("look", "idempotent"),
+                   RouteText("chat", "streaming") } },
+    { "services", json::array{ json::object{ { "name", "plain" } } } },
+    { "limits", limits },
+    { "tenants", json::array{ team } } });
+}
+
+std::string
+SettingsText(const PlatformLimits& aLimits,
+             const Endpoint& aCallers,
+             const Endpoint& aReadiness,
+             const std::array<Endpoint, 2>& aInternal,
+             const Endpoint& aStore,
+             const Endpoint& aCloud)
+{
+  const json::object listen{ { "front", ToText(aCallers) },
+                             { "ready", ToText(aReadiness) } };
+  const json::object limits{ { "memory_mb", aLimits.memoryMb },
+                             { "max_fds", aLimits.maxDescriptors } };
+  const json::object platform{
+    { "node_name", "daemon-1" },
+    { "zone", "zone-1" },
+    { "zones", json::object{ { "zone-1", "region-1" } } },
+    { "ip", "127.0.0.1" },
+    { "listen", listen },
+    { "internal_ports",
+      json::array{ aInternal.front().port(), aInternal.back().port() } },
+    { "limits", limits },
+    { "heartbeat_ms", 1200 },
+    { "provider", json::object{ { "address", ToText(aStore) } } },
+    { "cloud",
+      json::object{ { "address", ToText(aCloud) },
+                    { "duties", json::array{ "usage_report" } } } }
+  };
+  return json::serialize(json::object{ { "platform", platform } });
+}
+
+} // namespace
+
+ServedPlatform::ServedPlatform(PlatformLimits aLimits)
+  : limits(aLimits)
+{
+  const auto endpoints = FreeEndpoints(7);
+  this->callers = endpoints[0];
+  this->readiness = endpoints[1];
+  this->relays = endpoints[2];
+  this->metrics = endpoints[3];
+  this->StartServer(
+    endpoints[4],
+    [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+      return this->store.Handle(aRequest, aResponder);
+    });
+  this->StartServer(
+    endpoints[5],
+    [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+      return this->cloud.Handle(aRequest, aResponder);
+    });
+  this->StartServer(
+    endpoints[6],
+    [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
+      return this->HandleEngine(aRequest, aResponder);
+    });
+  this->store.AppendKeyed("keyed.op", "config", CatalogText(this->limits));
+  this->pool.First().Spawn(this->RenewEntries(endpoints[6]));
+  this->thread = std::thread([this] { this->pool.Run(); });
+  this->daemon = std::make_unique<DaemonProcess>(
+    SettingsText(this->limits,
+                 this->callers,
+                 this->readiness,
+                 { this->relays, this->metrics },
+                 endpoints[4],
+                 endpoints[5]),
+    this->limits.maxDescriptors);
+  // The largest body is served once the limits of the configuration apply.
+  const std::string request =
+    RequestWithBody(std::string(this->limits.maxBodyBytes, 'b'));
+  const auto end = std::chrono::steady_clock::now() + kStartTimeout;
+  while (StatusOf(Exchange(this->callers, request)) != 200) {
+    if (std::chrono::steady_clock::now() > end) {
+      throw std::runtime_error("the daemon does not serve: " +
+                               this->daemon->Output());
+    }
+    std::this_thread::sleep_for(kStartPollInterval);
+  }
+}
+
+ServedPlatform::~ServedPlatform()
+{
+  this->daemon.reset();
+  this->pool.Stop();
+  this->thread.join();
+}
+
+void
+ServedPlatform::StartServer(const Endpoint& aEndpoint, HttpHandler aHandler)
+{
+  HttpLimits serverLimits;
+  serverLimits.maxBodyBytes = 2 * this->limits.maxBodyBytes;
+  this->servers.push_back(std::make_unique<HttpServer>(
+    this->pool, serverLimits, std::move(aHandler)));
+  const auto listening = this->servers.back()->Listen(aEndpoint);
+  if (!listening) {
+    throw std::runtime_error(listening.error().message);
+  }
+}
+
+Task<void>
+ServedPlatform::RenewEntries(Endpoint aEngine)
+{
+  for (int sequence = 1;; ++sequence) {
+    const json::object entry{ { "service", "plain" },
+                              { "address", ToText(aEngine) },
+                              { "zone", "zone-1" },
+                              { "version", "v1" },
+                              { "slots", kEngineSlots },
+                              { "state", "ready" },
+                              { "born", 1 },
+                              { "seq", sequence } };
+    this->store.AppendKeyed(
+      "keyed.servers", "engine-1", json::serialize(entry));
+    co_await Sleep(kEntryInterval);
+  }
+}
+
+Task<void>
+ServedPlatform::HandleEngine(const HttpRequest& aRequest,
+                             HttpResponder& aResponder) const
+{
+  HttpResponse response = MakeResponse(
+    200, std::string(this->limits.responseBytes, 'r'), "text/plain");
+  response.set("Attempt-Id", HeaderOf(aRequest, "Attempt-Id"));
+  response.set("Response-Seal", "seal");
+  if (!aRequest.target().starts_with("/chat/")) {
+    co_await aResponder.Send(std::move(response));
+    co_return;
+  }
+  response.set("Content-Type", "text/event-stream");
+  co_await aResponder.Begin(std::move(response));
+  for (std::size_t i = 0; i < this->limits.eventsPerStream; ++i) {
+    std::string event = "id: " + std::to_string(i) +
+                        "\ndata: " + std::string(this->limits.eventBytes, 'e') +
+                        "\n\n";
+    const bool written = co_await aResponder.Write(std::move(event));
+    if (!written) {
+      co_return;
+    }
+  }
+  co_await aResponder.End();
+}
+
+std::string
+ServedPlatform::RequestHead(const std::string& aPath,
+                            const std::string& aMethod)
+{
+  return aMethod + " " + aPath +
+         " HTTP/1.1\r\nHost: service.example\r\nAttempt-Id: a1\r\n"
+         "Authorization: Token key-one\r\nDeadline-Ms: 4000\r\n";
+}
+
+std::string
+ServedPlatform::RequestWithBody(const std::string& aBody)
+{
+  return RequestHead() + "Content-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+bool
+ServedPlatform::IsAnswered(const std::string& aBody) const
+{
+  return this->IsRequestAnswered(RequestWithBody(aBody));
+}
+
+bool
+ServedPlatform::IsRequestAnswered(const std::string& aRequest) const
+{
+  return IsAnsweredAt(this->callers, aRequest);
+}
+
+void
+CheckSurvives(ServedPlatform& aPlatform)
+{
+  aPlatform.daemon->AwaitIdle();
+  const bool answered = aPlatform.IsAnswered();
+  const bool alive = aPlatform.daemon->IsAlive();
+  CHECK(answered);
+  REQUIRE(alive);
+  CHECK(aPlatform.daemon->PeakMemoryMb() <= aPlatform.limits.memoryMb);
+  CHECK(aPlatform.daemon->PeakDescriptors() <=
+        aPlatform.limits.maxDescriptors - kFileDescriptors);
+}
+
+} // namespace toucanshed::test
--- /dev/null
+++ b/test/ServedPlatform.h
@@ -0,0 +1,83 @@
+/** \file
+ * A daemon in a process of its own that serves on the platform, beside
+ * stand-ins of the store, the cloud and one engine in the test's process.
+ */
+#pragma once
+
+#include "DaemonProcess.h"
+
+#include "base/Types.h"
+#include "edge/HttpServer.h"
+#include "edge/WorkerPool.h"
+#include "standin/platform/Cloud.h"
+#include "standin/platform/Store.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace toucanshed::test {
+
+/** What a test lowers or raises. */
+struct PlatformLimits
+{
+  std::size_t memoryMb = 160; // of the daemon's machine
+  std::size_t maxDescriptors = 4100;
+  std::size_t maxBodyBytes = std::size_t{ 4 } << 20U;
+  Millis headerTimeout{ 120000 }; // so that clients that wait stay
+  Millis idleTimeout{ 120000 };
+  std::size_t responseBytes = 64; // of the engine's responses
+  std::size_t eventsPerStream = 5;
+  std::size_t eventBytes = 64;
+};
+
+/** Thread safety: none; belongs to the test's thread. */
+class ServedPlatform
+{
+public:
+  /** Starts the stand-ins and the daemon, and waits until it is ready. */
+  explicit ServedPlatform(PlatformLimits aLimits);
+  ~ServedPlatform();
+  ServedPlatform(const ServedPlatform&) = delete;
+  ServedPlatform& operator=(const ServedPlatform&) = delete;
+
+  /** The head of an ordinary caller's request, without the empty line that ends
+   * it: path /look/ is idempotent, /chat/ streams. */
+  static std::string RequestHead(const std::string& aPath = "/look/1",
+                                 const std::string& aMethod = "POST");
+  /** An ordinary caller's request. */
+  static std::string RequestWithBody(const std::string& aBody);
+  /** Sends an ordinary request, and sends it again after the time that a
+   * refusal asks for.
+   * \param aBody its body, without a length when it is chunked
+   * \return whether it got a 200 */
+  [[nodiscard]] bool IsAnswered(const std::string& aBody = "{}") const;
+  /** The same with the whole text of the request. */
+  [[nodiscard]] bool IsRequestAnswered(const std::string& aRequest) const;
+
+  const PlatformLimits limits;
+  Endpoint callers;
+  Endpoint readiness;
+  Endpoint relays;
+  Endpoint metrics;
+  std::unique_ptr<DaemonProcess> daemon;
+
+private:
+  void StartServer(const Endpoint& aEndpoint, HttpHandler aHandler);
+  Task<void> RenewEntries(Endpoint aEngine);
+  Task<void> HandleEngine(const HttpRequest& aRequest,
+                          HttpResponder& aResponder) const;
+
+  WorkerPool pool{ 1 };
+  standin::PlatformStore store;
+  standin::PlatformCloud cloud;
+  std::vector<std::unique_ptr<HttpServer>> servers;
+  std::thread thread;
+};
+
+/** Checks that the daemon lives, that its memory and its descriptors have
+ * stayed within its machine's, and that an ordinary caller gets its answer. */
+void
+CheckSurvives(ServedPlatform& aPlatform);
+
+} // namespace toucanshed::test
--- a/tools/lib/named_tests.py
+++ b/tools/lib/named_tests.py
@@ -8,7 +8,7 @@
 import re
 import sys
 
-KINDS = "correctness|failure|fuzz|golden|error|performance"
+KINDS = "correctness|failure|fuzz|golden|error|performance|clients"
 
 
 def main():
