Limits of requests apply with their configuration

Callers of a daemon that had just started saw 413 for bodies between 1 MiB and the configured limit.

Cause: the servers took over a configuration's limits in a loop, up to 100 ms after the configuration was in force.

Change: they take them over when it comes into force.

No test of its own: the window cannot be hit without a bound of time.

--- a/src/serve/OperatorRecords.cpp
+++ b/src/serve/OperatorRecords.cpp
@@ -123,6 +123,7 @@
   aState.quotas.Configure(*parsed, ServingState::Now());
   aState.catalog = std::make_shared<const Catalog>(std::move(*parsed));
   aState.catalogRecord = aRecord;
+  aState.onCatalog();
   aState.log.Emit(Event("catalog.in_force")
                     .With("version", aState.catalog->version)
                     .With("position", aRecord.position.offset)
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -102,6 +102,7 @@
   if (const auto& machine = this->state.settings.machine) {
     this->state.pool.Clients().SetLimits(ClientLimits::Of(*machine));
   }
+  this->state.onCatalog = [this] { this->ApplyLimits(); };
 }
 
 HttpLimits
@@ -141,6 +142,14 @@
   }
 }
 
+void
+ServingDaemon::ApplyLimits()
+{
+  const RequestLimits& limits = this->state.catalog->requestLimits;
+  this->callers.SetLimits(this->MakeLimits(Port::eCallers, limits));
+  this->relays.SetLimits(this->MakeLimits(Port::eRelays, limits));
+}
+
 void
 ServingDaemon::ReportClients()
 {
@@ -253,7 +262,6 @@
 Task<void>
 ServingDaemon::Housekeeping()
 {
-  std::uint64_t appliedVersion = 0;
   for (int tick = 1;; ++tick) {
     // Also the interval of log lines: a killed process loses those of one.
     co_await Sleep(ServingState::kTickInterval);
@@ -263,13 +271,6 @@
       this->ReportClients();
     }
     this->logWriter.Flush();
-    const auto& catalog = this->state.catalog;
-    if (catalog != nullptr && catalog->version != appliedVersion) {
-      appliedVersion = catalog->version;
-      const RequestLimits& limits = catalog->requestLimits;
-      this->callers.SetLimits(this->MakeLimits(Port::eCallers, limits));
-      this->relays.SetLimits(this->MakeLimits(Port::eRelays, limits));
-    }
   }
 }
 
--- a/src/serve/ServingDaemon.h
+++ b/src/serve/ServingDaemon.h
@@ -50,14 +50,15 @@
   void CompleteRejection(Port aPort,
                          const http::fields& aFields,
                          HttpResponse& aResponse);
+  /** Applies the limits of the catalog in force. */
+  void ApplyLimits();
   /** Logs how many clients were refused or closed for lack of room since the
    * last report, if any was. */
   void ReportClients();
   Task<void> StopOnSignal();
   Task<void> ReloadOnSignal();
   Task<void> StopGracefully();
-  /** Writes the log in batches and applies the current limits of callers'
-   * requests. */
+  /** Writes the log in batches and reports what is measured. */
   Task<void> Housekeeping();
   /** Measures the lag of the loop, and logs when it begins and ends. */
   void RecordTick();
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -125,6 +125,8 @@
 
   std::shared_ptr<const Catalog> catalog; // null until it was read
   KeyedRecord catalogRecord;              // the record that it was read from
+  /** Called when another catalog is in force. */
+  std::function<void()> onCatalog = [] {};
   BackendTable backends;
   bool backendsRead = false;
   ListRevisions listRevisions;
