Callers that do not read leave back ends to others

Ordinary callers saw 503 for as long as 30 s while a few clients read no responses.

Cause: a request counted at its back end until the client had read the whole response, though the back end was done after 31 ms. With streams, a back end whose data waited for the client counted as hanging, so no request was sent to it at all. Responses for clients were held by size received, not allocated, and by call only.

Change: the back end is released once its response is complete. While a client is written to, the back end's silence is not counted against it. When a request finds all back ends full, the client that has not read its stream for longest (a second at least) is closed. Held responses count as allocated, for the client; a stated length that fits waits for room.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -18,8 +18,10 @@
     // Those requests still end at this daemon.
     const BackendLoad own = backend.localLoad;
     const std::uint64_t held = backend.heldTokens;
+    const std::int64_t unread = backend.unreadResponses;
     backend = Backend{};
     backend.localLoad = own;
+    backend.unreadResponses = unread;
     backend.heldTokens = held;
   }
   backend.entry = aEntry;
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -99,6 +99,9 @@
   /** Time of the last data from it or, if later, of a send to it while it was
    * idle. */
   TimePoint lastProgressAt;
+  /** Of this daemon's requests there, those whose callers do not read what it
+   * has sent. */
+  std::int64_t unreadResponses = 0;
 
   /** Its entry is missing and the grace period has expired. */
   [[nodiscard]] bool GraceExpired(TimePoint aNow) const
@@ -110,7 +113,7 @@
    * hangs or is unreachable, and more requests to it would hang too. */
   [[nodiscard]] bool IsStalled(TimePoint aNow) const
   {
-    return this->localLoad.running > 0 &&
+    return this->localLoad.running > this->unreadResponses &&
            aNow - this->lastProgressAt > kStallTimeout;
   }
 
--- a/src/serve/BackendLoadGuard.h
+++ b/src/serve/BackendLoadGuard.h
@@ -33,15 +33,23 @@
     }
     this->AddLoad(1);
   }
-  ~BackendLoadGuard()
+  ~BackendLoadGuard() { this->Release(); }
+  BackendLoadGuard(const BackendLoadGuard&) = delete;
+  BackendLoadGuard& operator=(const BackendLoadGuard&) = delete;
+
+  /** Removes the request from the load: the back end has done its part, however
+   * long the caller takes to read the response. */
+  void Release()
   {
+    if (this->released) {
+      return;
+    }
+    this->released = true;
     this->AddLoad(-1);
     if (Backend* found = this->table.Find(this->backend)) {
       found->heldTokens -= std::min(found->heldTokens, this->heldTokens);
     }
   }
-  BackendLoadGuard(const BackendLoadGuard&) = delete;
-  BackendLoadGuard& operator=(const BackendLoadGuard&) = delete;
 
   /** Removes the prompt tokens from the load: the first token means that
    * prefill is done. */
@@ -52,7 +60,23 @@
     this->AddLoad(1);
   }
 
+  /** The caller is being written to, and the back end waits until it reads. */
+  void BeginWrite() { this->AddUnread(1); }
+  /** The caller has read, or has left. */
+  void EndWrite(TimePoint aNow)
+  {
+    this->AddUnread(-1);
+    this->table.RecordProgress(this->backend, aNow);
+  }
+
 private:
+  void AddUnread(std::int64_t aCount)
+  {
+    if (Backend* found = this->table.Find(this->backend)) {
+      found->unreadResponses =
+        std::max<std::int64_t>(0, found->unreadResponses + aCount);
+    }
+  }
   void AddLoad(std::int64_t aSign)
   {
     if (Backend* found = this->table.Find(this->backend)) {
@@ -64,6 +88,7 @@
   BackendTable& table;
   InstanceId backend;
   BackendLoad load;
+  bool released = false;
   std::uint64_t heldTokens; // of the engine's memory, prompt and output
 };
 
--- a/src/serve/QueuedAdmission.cpp
+++ b/src/serve/QueuedAdmission.cpp
@@ -191,6 +191,7 @@
   this->lastFailure = this->admission == AdmissionDecision::ePrefillQueue
                         ? "engines have too much to read"
                         : "all back ends are full";
+  this->state.pool.Clients().CloseUnread(); // for the caller's next try
   this->LogQueueDecision("request.rejected", aCause);
   this->state.metrics.Count(
     "toucanshed_queue_rejections_total",
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -251,6 +251,7 @@
   const bool rejected =
     placement->atCapacity && this->sends == 0 && !this->UsesQueue();
   if (rejected) {
+    this->state.pool.Clients().CloseUnread(); // for the caller's next try
     this->lastFailure = "all back ends are full";
     co_return Step::eGiveUp;
   }
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -25,6 +25,7 @@
 namespace toucanshed {
 
 class BackendLoadGuard;
+class ResponseBuffer;
 struct BackendResponseHead;
 struct CrashCheck;
 struct EngineTraits;
@@ -168,6 +169,14 @@
   Task<SendOutcome> RelayBuffered(HttpExchange& aExchange,
                                   const Placement& aPlacement);
   Task<bool> RelayEvents(HttpExchange& aExchange, const Placement& aPlacement);
+  /** Appends a piece to a response's body, within what the process may hold.
+   * \return whether there is room for it */
+  Task<bool> AppendToBody(const HttpExchange& aExchange,
+                          ResponseBuffer& aBuffer,
+                          const std::string& aPiece,
+                          std::string& aBody);
+  /** The back end has done its part, and may get another request. */
+  void ReleaseBackend();
   /** Applies what a response says about its engine. */
   void ApplyEngineNotices(const BackendResponseHead& aHead);
   void MarkLeaving();
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -16,6 +16,8 @@
 /** Pause within a stream after which it is resumed on another back end. Engines
  * pause streams themselves when their memory is full, for some hundred ms. */
 constexpr Millis kStreamGapTimeout{ 1600 };
+/** Interval of the tries to hold a response for which there is no room. */
+constexpr Millis kRoomPollInterval{ 5 };
 
 } // namespace
 
@@ -204,7 +206,9 @@
   this->splitter.DiscardPartialEvent();
   aExchange.SetBodyIdleTimeout(this->AttemptTimeout());
   aExchange.SetTimeLeft(this->TimeLeft());
-  ResponseBuffer buffer(this->state.pool.First().responseBuffers);
+  this->responder.Place().SetHoldsBackend(true);
+  ResponseBuffer buffer(this->state.pool.First().responseBuffers,
+                        &this->responder.Place());
   while (true) {
     auto piece = co_await aExchange.ReadChunk();
     if (!piece) {
@@ -223,7 +227,8 @@
       this->lastFailure = "an event of the stream is missing";
       co_return SendOutcome::eMayHaveRun;
     }
-    if (!buffer.Resize(this->splitter.PendingBytes())) {
+    const bool held = co_await buffer.Grow(this->splitter.PendingBytes());
+    if (!held) {
       this->lastFailure = "an event of the stream is too large to hold";
       co_return SendOutcome::eMayHaveRun;
     }
@@ -237,6 +242,7 @@
   if (crashed) {
     co_return SendOutcome::eMayHaveRun;
   }
+  this->ReleaseBackend();
   co_await this->responder.End();
   this->RecordSlotTime(aPlacement);
   this->RecordWritten();
@@ -284,7 +290,56 @@
       co_return false;
     }
   }
-  co_return co_await this->responder.Write(std::move(events));
+  // Null when the stream comes through another daemon.
+  BackendLoadGuard* const guard = this->loadGuard;
+  if (guard != nullptr) {
+    guard->BeginWrite();
+  }
+  const bool written = co_await this->responder.Write(std::move(events));
+  if (guard != nullptr) {
+    guard->EndWrite(ServingState::Now());
+  }
+  co_return written;
+}
+
+void
+RequestForwarder::ReleaseBackend()
+{
+  this->responder.Place().SetHoldsBackend(false);
+  if (this->loadGuard != nullptr) { // null when it went through a daemon
+    this->loadGuard->Release();
+    this->state.queues.Notify();
+  }
+}
+
+Task<bool>
+RequestForwarder::AppendToBody(const HttpExchange& aExchange,
+                               ResponseBuffer& aBuffer,
+                               const std::string& aPiece,
+                               std::string& aBody)
+{
+  const std::size_t needed = aBody.size() + aPiece.size();
+  if (needed > aBody.capacity()) {
+    // A stated length is allocated at once, another one in growing steps.
+    const std::size_t length = aExchange.ContentLength().value_or(0);
+    const std::size_t wanted =
+      std::max<std::size_t>(length, 2 * aBody.capacity());
+    const std::size_t capacity =
+      std::max(needed, std::min(ResponseBuffer::kMaxCallBytes, wanted));
+    bool held = co_await aBuffer.Grow(capacity);
+    const bool mayWait = aBody.empty() && length >= needed &&
+                         length <= ResponseBuffer::kMaxCallBytes;
+    while (!held && mayWait && this->IsCallerWaiting()) {
+      co_await Sleep(kRoomPollInterval);
+      held = co_await aBuffer.Grow(capacity);
+    }
+    if (!held) {
+      co_return false;
+    }
+    aBody.reserve(capacity);
+  }
+  aBody += aPiece;
+  co_return true;
 }
 
 Task<SendOutcome>
@@ -302,7 +357,8 @@
     this->state.wire.backends.forwardHead(status, aExchange.Headers());
   EraseRelayOutcome(response);
   aExchange.SetTimeLeft(this->TimeLeft());
-  ResponseBuffer buffer(this->state.pool.First().responseBuffers);
+  ResponseBuffer buffer(this->state.pool.First().responseBuffers,
+                        &this->responder.Place());
   while (true) {
     auto piece = co_await aExchange.ReadChunk();
     if (!piece) {
@@ -312,11 +368,12 @@
     if (!piece->has_value()) {
       break;
     }
-    if (!buffer.Resize(response.body().size() + (*piece)->size())) {
+    const bool held =
+      co_await this->AppendToBody(aExchange, buffer, **piece, response.body());
+    if (!held) {
       this->lastFailure = "the response is too large to hold";
       co_return SendOutcome::eMayHaveRun;
     }
-    response.body() += **piece;
   }
   const bool crashed =
     co_await this->EndedByCrash(aExchange, aPlacement.backend);
@@ -345,6 +402,7 @@
     this->lastFailure = "back end failed with " + std::to_string(status);
     co_return SendOutcome::eMayHaveRun;
   }
+  this->ReleaseBackend();
   co_await this->responder.Send(std::move(response));
   this->LogEnd(status, "answered");
   co_return SendOutcome::eResponded;
