Reading a pipelined request has no timeout of the last write

A request whose first bytes had come with the one before kept the stream's expiry of the response's write, 30 s after it, so a body that came later than that was cut although its own time allowed it.

Cause: cleared the expiry only where it waits for a first byte. Found by reading; the time of a request is shorter than 30 s in all configurations at hand, so no run showed it.

--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -224,7 +224,6 @@
     net::redirect_error(net::use_awaitable, error));
   idleWait->stream = nullptr;
   aConnection.buffer.commit(received);
-  aConnection.stream.expires_never();
   co_return !error;
 }
 
@@ -235,6 +234,7 @@
   if (!begun) {
     co_return false;
   }
+  aConnection.stream.expires_never(); // the reader has a timeout of its own
   aConnection.place->SetStage(ClientStage::eReading);
   const HttpLimits requestLimits = this->limits; // they may change meanwhile
   tl::expected<HttpRequest, ReadFailure> request;
