Rejected connections hold no buffer and no place that others need

A connection that was rejected kept up to 64 KiB that was read ahead, which nothing counted, while it discarded what the client still sent; one that was closed for room kept its descriptor for that time, and 16 such held up all other closings.

Change: the buffer is released before its bytes are, and a connection that is closed for room is closed once its 503 is written.

--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -87,7 +87,6 @@
   aConnection.place->SetStage(ClientStage::eIdle);
   boost::system::error_code error;
   aConnection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
-  aConnection.buffer.clear();
   aConnection.stream.expires_after(kDiscardTimeout);
   std::size_t discarded = 0;
   while (!error && discarded < kMaxDiscardedBytes) {
@@ -264,12 +263,17 @@
   if (aFailure.noRoom) {
     this->pool.Clients().CountRefusal();
   }
+  aConnection.buffer.clear();
+  aConnection.buffer.shrink_to_fit(); // nothing is counted for it any more
   RequestReader::Release(aConnection);
   HttpResponse response = MakeRejection(aFailure);
   this->limits.onRejection(aFailure.fields, response);
   HttpResponder responder(aConnection.stream, false, aConnection.place.get());
   const bool sent = co_await responder.Send(std::move(response));
-  if (sent && !this->closing) {
+  // Where room is needed, its descriptor is released at once.
+  const bool discards =
+    sent && !this->closing && !aConnection.place->IsClosing();
+  if (discards) {
     co_await DiscardInput(aConnection);
   }
 }
