--- a/src/edge/ClientGuard.h
+++ b/src/edge/ClientGuard.h
@@ -61,7 +61,8 @@
 /**
  * One client's connection, from its acceptance to its end. When it is chosen to
  * be closed for room, a read of a request is cancelled, so that the client can
- * still be told that it did not run; in other stages the connection is closed.
+ * still get the response that it did not run; in other stages the connection is
+ * closed.
  *
  * Thread safety: none; belongs to the connection's worker.
  */
--- a/test/error/ClientRoomErrors.cpp
+++ b/test/error/ClientRoomErrors.cpp
@@ -99,7 +99,7 @@
 }
 
 // Guards against a client that keeps its room by stopping short, and against
-// one that is not told that its request did not run.
+// one that gets no response that its request did not run.
 TEST_CASE("a request that stands still is refused when room is needed")
 {
   SmallServer small(21130);
