--- a/src/serve/StoreClient.cpp
+++ b/src/serve/StoreClient.cpp
@@ -48,6 +48,24 @@
     Event("dependency.lost").With("name", "store").With("reason", aReason));
 }
 
+/** Logs a page of the latest records that cannot be used. Without it, a daemon
+ * that does not become ready does not show why. */
+void
+LogFailedSnapshot(ServingState& aState,
+                  StoreTopic aTopic,
+                  std::size_t aRecords,
+                  const std::string& aAfter,
+                  const std::string& aReason)
+{
+  aState.metrics.Count("toucanshed_failed_snapshots_total",
+                       std::string("topic=\"") + NameOf(aTopic) + "\"");
+  aState.log.Emit(Event("store.snapshot_failed")
+                    .With("topic", NameOf(aTopic))
+                    .With("records", aRecords)
+                    .With("after", aAfter)
+                    .With("reason", aReason));
+}
+
 } // namespace
 
 const char*
@@ -162,6 +180,8 @@
     }
     auto page = aState.wire.store.latestPage(*response);
     if (!page) {
+      LogFailedSnapshot(
+        aState, aTopic, snapshot.records.size(), after, page.error().message);
       co_return tl::unexpected(page.error());
     }
     if (first) {
