Tests: a daemon starts beside keys that a query must escape (failing)

The stand-in of the store now returns the newest records in pages of 500 or 1 MB, as the platform's does, and decodes the key to go on after as forms do; before, it returned all in one page, so no test read a second one.

--- a/standin/platform/Store.cpp
+++ b/standin/platform/Store.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/endian/conversion.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 #include <openssl/evp.h>
 
 namespace toucanshed::standin {
@@ -58,6 +59,32 @@
   return text.empty() ? 0 : std::stoull(text);
 }
 
+/** Decodes a query parameter as forms encode it: "+" is a space, "%" and two
+ * hexadecimal digits a byte. Nothing if it is not encoded so. */
+std::optional<std::string>
+DecodeQueryParam(const std::string& aText)
+{
+  constexpr std::size_t kDigits = 2;
+  constexpr int kHexadecimal = 16;
+  std::string decoded;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      decoded += aText[i] == '+' ? ' ' : aText[i];
+      continue;
+    }
+    const std::string digits = aText.substr(i + 1, kDigits);
+    unsigned byte = 0;
+    const auto [end, error] = std::from_chars(
+      digits.data(), digits.data() + digits.size(), byte, kHexadecimal);
+    if (error != std::errc{} || end != digits.data() + kDigits) {
+      return std::nullopt;
+    }
+    decoded += static_cast<char>(byte);
+    i += kDigits;
+  }
+  return decoded;
+}
+
 } // namespace
 
 std::uint64_t
@@ -177,15 +204,29 @@
 {
   ++this->reads;
   ++this->snapshots;
+  const auto after = DecodeQueryParam(QueryParamOf(aRequest.target(), "after"));
+  if (!after) {
+    return MakeResponse(400, "");
+  }
   Topic& topic = this->topics[QueryParamOf(aRequest.target(), "topic")];
   json::array items;
-  for (const auto& [key, entry] : topic.latestByKey) {
-    items.push_back(json::object{ { "key", key },
-                                  { "value", Base64(entry.first) },
-                                  { "offset", entry.second } });
+  std::size_t bytes = 0;
+  auto next = this->ignoresAfter ? topic.latestByKey.begin()
+                                 : topic.latestByKey.upper_bound(*after);
+  for (; next != topic.latestByKey.end(); ++next) {
+    const auto& [key, entry] = *next;
+    const std::string value = Base64(entry.first);
+    bytes += key.size() + value.size();
+    const bool full = items.size() == this->maxRecordsPerPage ||
+                      (!items.empty() && bytes > this->maxBytesPerPage);
+    if (full) {
+      break;
+    }
+    items.push_back(json::object{
+      { "key", key }, { "value", value }, { "offset", entry.second } });
   }
   const json::object result{ { "items", items },
-                             { "more", false },
+                             { "more", next != topic.latestByKey.end() },
                              { "end", EndOf(topic) } };
   return MakeResponse(kOk, json::serialize(result));
 }
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -46,6 +46,10 @@
   std::uint64_t era = 0; // stated in each response
   bool statesEra = true;
   std::size_t maxRecordsPerRead = 100000; // per response to a read
+  std::size_t maxRecordsPerPage = 500;    // of the latest records
+  std::size_t maxBytesPerPage = 1U << 20U;
+  /** Each page of the latest records is the first one. */
+  bool ignoresAfter = false;
   std::size_t reads = 0;
   std::size_t snapshots = 0; // of the reads, those of the latest records
   std::size_t appends = 0;
--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -91,7 +91,7 @@
 } // namespace
 
 ServedPlatform::ServedPlatform(PlatformLimits aLimits)
-  : limits(aLimits)
+  : limits(std::move(aLimits))
 {
   const auto endpoints = FreeEndpoints(7);
   this->callers = endpoints[0];
@@ -114,6 +114,9 @@
       return this->HandleEngine(aRequest, aResponder);
     });
   this->store.AppendKeyed("keyed.op", "config", CatalogText(this->limits));
+  for (const auto& [key, value] : this->limits.otherEntries) {
+    this->store.AppendKeyed("keyed.servers", key, value);
+  }
   this->pool.First().Spawn(this->RenewEntries(endpoints[6]));
   this->thread = std::thread([this] { this->pool.Run(); });
   this->daemon = std::make_unique<DaemonProcess>(
@@ -124,26 +127,44 @@
                  endpoints[4],
                  endpoints[5]),
     this->limits.maxDescriptors);
-  // The largest body is served once the limits of the configuration apply.
-  const std::string request =
-    RequestWithBody(std::string(this->limits.maxBodyBytes, 'b'));
-  const auto end = std::chrono::steady_clock::now() + kStartTimeout;
-  while (StatusOf(Exchange(this->callers, request)) != 200) {
-    if (std::chrono::steady_clock::now() > end) {
-      throw std::runtime_error("the daemon does not serve: " +
-                               this->daemon->Output());
-    }
-    std::this_thread::sleep_for(kStartPollInterval);
+  if (!this->AwaitServing()) {
+    const std::string output = this->daemon->Output();
+    this->Stop();
+    throw std::runtime_error("the daemon does not serve: " + output);
   }
 }
 
 ServedPlatform::~ServedPlatform()
+{
+  this->Stop();
+}
+
+void
+ServedPlatform::Stop()
 {
   this->daemon.reset();
   this->pool.Stop();
   this->thread.join();
 }
 
+bool
+ServedPlatform::AwaitServing()
+{
+  // The largest body is served once the limits of the configuration apply.
+  const std::string request =
+    RequestWithBody(std::string(this->limits.maxBodyBytes, 'b'));
+  const auto end = std::chrono::steady_clock::now() + kStartTimeout;
+  while (StatusOf(Exchange(this->callers, request)) != 200) {
+    const bool late = std::chrono::steady_clock::now() > end;
+    const bool tooLarge = this->daemon->PeakMemoryMb() > this->limits.memoryMb;
+    if (late || tooLarge || !this->daemon->IsAlive()) {
+      return false;
+    }
+    std::this_thread::sleep_for(kStartPollInterval);
+  }
+  return true;
+}
+
 void
 ServedPlatform::StartServer(const Endpoint& aEndpoint, HttpHandler aHandler)
 {
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -15,6 +15,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace toucanshed::test {
 
@@ -29,6 +31,8 @@
   std::size_t responseBytes = 64; // of the engine's responses
   std::size_t eventsPerStream = 5;
   std::size_t eventBytes = 64;
+  /** Entries of the list that another writer has left, as key and value. */
+  std::vector<std::pair<std::string, std::string>> otherEntries = {};
 };
 
 /** Thread safety: none; belongs to the test's thread. */
@@ -63,6 +67,11 @@
   std::unique_ptr<DaemonProcess> daemon;
 
 private:
+  /** Waits until the daemon serves.
+   * \return false if it ends, outgrows its machine, or does not serve in time
+   */
+  bool AwaitServing();
+  void Stop();
   void StartServer(const Endpoint& aEndpoint, HttpHandler aHandler);
   Task<void> RenewEntries(Endpoint aEngine);
   Task<void> HandleEngine(const HttpRequest& aRequest,
