--- a/src/serve/StoreClient.cpp
+++ b/src/serve/StoreClient.cpp
@@ -3,6 +3,8 @@
 #include "ServingState.h"
 #include "edge/HttpExchange.h"
 
+#include <set>
+
 namespace toucanshed {
 
 namespace {
@@ -170,6 +172,7 @@
 {
   TopicPage snapshot;
   std::string after;
+  std::set<std::string> pageEnds;
   bool more = true;
   for (bool first = true; more; first = false) {
     const StoreCallLabels labels{ "newest", aTopic };
@@ -191,11 +194,17 @@
     } else if (page->next.era != snapshot.next.era) {
       co_return Fail(ErrorCode::eConflict, "the store's era changed meanwhile");
     }
-    more = page->more && !page->records.empty();
+    more = page->more;
     for (KeyedRecord& record : page->records) {
       after = record.key;
       snapshot.records.push_back(std::move(record));
     }
+    const bool goesOn = !page->records.empty() && pageEnds.insert(after).second;
+    if (more && !goesOn) {
+      const std::string reason = "the next page does not go on after the key";
+      LogFailedSnapshot(aState, aTopic, snapshot.records.size(), after, reason);
+      co_return Fail(ErrorCode::eProtocol, reason);
+    }
   }
   co_return snapshot;
 }
--- a/src/serve/StoreClient.h
+++ b/src/serve/StoreClient.h
@@ -54,7 +54,8 @@
               std::optional<StorePosition> aExpectedEnd = std::nullopt);
 
 /** Reads the latest records of all keys of a keyed topic; next is where to
- * continue reading. */
+ * continue reading. Fails if the pages come round again, however many there
+ * are. */
 Task<Result<TopicPage>>
 ReadLatest(ServingState& aState, StoreTopic aTopic);
 
--- a/test/failure/SnapshotTest.cpp
+++ b/test/failure/SnapshotTest.cpp
@@ -63,4 +63,39 @@
   CHECK(listed == keys);
 }
 
+// Guards against a process that runs out of memory on pages that come round
+// again, and against a part of the list taken for all of it.
+TEST_CASE("pages that repeat end the read as failed")
+{
+  PlatformHarness harness(25920);
+  harness.store.maxRecordsPerPage = 2;
+  harness.store.ignoresAfter = true;
+  for (const char* key : { "e1", "e2", "e3" }) {
+    harness.store.AppendKeyed(kServers, key, kOddValue);
+  }
+  constexpr std::size_t kMaxPages = 20;
+  const auto read = ReadWithin(harness, kMaxPages);
+  CHECK_FALSE(read->has_value());
+  CHECK(harness.store.reads <= kMaxPages);
+}
+
+// Guards against an engine that is dropped as the list has more than a page.
+TEST_CASE("engines beyond the first page of the list are used")
+{
+  PlatformHarness harness(25940);
+  harness.store.maxRecordsPerPage = 1;
+  for (const char* key : { "a1%2", "a2+", "a3", "a4+" }) {
+    harness.store.AppendKeyed(kServers, key, kOddValue);
+  }
+  harness.AddEngine("e1", "plain");
+  harness.store.AppendKeyed(kServers, "e1", harness.EntryOf("e1"));
+  harness.Run([](PlatformHarness& aHarness) -> Task<void> {
+    aHarness.state->backendsRead = false;
+    aHarness.state->pool.First().Spawn(WatchBackendList(*aHarness.state));
+    co_await Sleep(Millis(300));
+  }(harness));
+  CHECK(harness.state->backendsRead);
+  CHECK(harness.state->backends.Find(InstanceId{ "e1" }) != nullptr);
+}
+
 } // namespace toucanshed::test
