An engine is used again once it renews an entry that was overwritten

Callers saw 503 "no back end" for up to a minute after another writer had written one unreadable entry under an engine's id, though the engine renewed its own 1.2 s later.

Cause: an entry that cannot be used marked its engine as leaving, and nothing but an engine that is removed and listed anew ever cleared that mark. An idle engine was dropped after 60 s and came back with the next renewal.

Change: the mark says that only the entry is at fault; the next usable entry clears it. An engine that says itself or through a peer that it leaves stays leaving.

Ruled out: to keep using the entry before the overwritten one.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace toucanshed {
 
@@ -24,6 +25,11 @@
     backend.unreadResponses = unread;
     backend.heldTokens = held;
   }
+  if (backend.entryUnusable) {
+    backend.entryUnusable = false;
+    backend.leaving = false;
+    backend.leavingSince = TimePoint{};
+  }
   backend.entry = aEntry;
   backend.idHash = Hash64(aEntry.id.value);
   const bool hasIncarnation = aEntry.incarnation != 0;
@@ -95,11 +101,11 @@
   const bool binds =
     backend != nullptr &&
     (aStartedBy == 0 || backend->entry.incarnation <= aStartedBy);
-  if (!binds || backend->leaving) {
+  if (!binds) {
     return false;
   }
-  backend->leaving = true;
-  return true;
+  backend->entryUnusable = false;
+  return !std::exchange(backend->leaving, true);
 }
 
 bool
@@ -127,6 +133,7 @@
 BackendTable::MarkEntryUnusable(const InstanceId& aId)
 {
   if (Backend* backend = this->Find(aId)) {
+    backend->entryUnusable = backend->entryUnusable || !backend->leaving;
     backend->entry.leaving = true;
     backend->leaving = true;
   }
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -79,7 +79,9 @@
   /** Memory that this daemon's requests take there, with their expected output.
    */
   std::uint64_t heldTokens = 0;
-  bool leaving = false;   // by the list, its own response or another daemon
+  bool leaving = false; // by the list, its own response or another daemon
+  /** Leaving only because its entry cannot be used: until the next one. */
+  bool entryUnusable = false;
   TimePoint leavingSince; // as seen by Expire; 0: not yet
   TimePoint restUntil;    // it accepts no request from this daemon before
   /** Set when its entry is missing and may have expired in an outage of the
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -163,7 +163,8 @@
 {
   const Backend* backend = aState.backends.Find(aId);
   const bool changed = aState.listRevisions.TryAdvance(aId.value, aPosition) &&
-                       backend != nullptr && !backend->entry.leaving;
+                       backend != nullptr &&
+                       (!backend->entry.leaving || backend->entryUnusable);
   if (changed) {
     LogBackendChange(aState, *backend, "leaving", aPosition, aRead);
     aState.backends.MarkLeaving(aId, backend->entry.incarnation);
