An entry of the list is an engine's whole entry or names none

Entries with a number too large, a negative warm-up or a text where a number belongs were used, too, and a key that is not UTF-8 hid all other entries from a daemon that starts, so that it did not become ready.

Cause: a field that was missing or of another type read as "" or 0. Numbers were converted without a bound. The page of newest records was parsed as strict UTF-8, and ids went into headers and peers' messages as they were.

A page may hold any bytes.

--- a/src/edge/Json.cpp
+++ b/src/edge/Json.cpp
@@ -5,10 +5,12 @@
 namespace toucanshed {
 
 std::optional<boost::json::object>
-ParseJsonObject(std::string_view aText)
+ParseJsonObject(std::string_view aText, bool aAnyBytes)
 {
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = aAnyBytes;
   boost::system::error_code error;
-  auto parsed = boost::json::parse(aText, error);
+  auto parsed = boost::json::parse(aText, error, {}, options);
   if (error || !parsed.is_object()) {
     return std::nullopt;
   }
--- a/src/edge/Json.h
+++ b/src/edge/Json.h
@@ -12,9 +12,10 @@
 
 namespace toucanshed {
 
-/** Parses a JSON object; nothing if the text is not exactly one JSON object. */
+/** Parses a JSON object; nothing if the text is not exactly one JSON object.
+ * \param aAnyBytes strings may hold bytes that are not UTF-8 */
 std::optional<boost::json::object>
-ParseJsonObject(std::string_view aText);
+ParseJsonObject(std::string_view aText, bool aAnyBytes = false);
 
 std::string
 StringOf(const boost::json::object& aObject, std::string_view aName);
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -411,6 +411,8 @@
                                        { "version", "v1" },
                                        { "slots", kSlots },
                                        { "state", aState },
+                                       { "cold_remaining_ms", 0 },
+                                       { "seq", ++this->entryRenewals },
                                        { "born", born } });
 }
 
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -140,6 +140,7 @@
   std::map<std::string, std::string> engineZones;
   std::map<std::string, HttpServer*> engineServers;
   std::map<std::string, std::int64_t> engineIncarnations; // 1 if missing
+  mutable std::uint64_t entryRenewals = 0;                // of all engines
   std::size_t crashed = 0;
   std::map<std::string, std::unique_ptr<standin::NetworkPath>> paths;
   std::unique_ptr<PeerMessenger> messenger;
--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -188,6 +188,7 @@
                               { "version", "v1" },
                               { "slots", kEngineSlots },
                               { "state", "ready" },
+                              { "cold_remaining_ms", 0 },
                               { "born", 1 },
                               { "seq", sequence } };
     this->store.AppendKeyed(
