A response whose status is no status is not passed on

Callers got 600 or 999 with the engine's signature as an answer (MIXED, as other operators saw it with 000).

Cause: any three digits from 200 on counted as a final status. 000 did not: it was read over like an interim response, and the call ended as failed, but only as the connection closed.

Change: a status below 100 or above 599 ends the call as a protocol error, at once, on all calls: engines, relays, store, cloud.

The stand-in can answer early now.

--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -29,6 +29,8 @@
 constexpr int kMaxBodyTimeouts = 3;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kLastStatus = 599;
 
 ErrorCode
 ErrorCodeOf(const boost::system::error_code& aError)
@@ -188,12 +190,14 @@
       co_return this->FailCall(CallPhase::eHead, error);
     }
     const unsigned status = this->Status();
+    const bool isStatus =
+      status >= kFirstInterimStatus && status <= kLastStatus;
+    if (!isStatus || status == kSwitchingProtocols) {
+      break; // no response, or one that was not requested
+    }
     if (status >= kFirstFinalStatus) {
       co_return std::nullopt;
     }
-    if (status == kSwitchingProtocols) {
-      break; // was not requested
-    }
   }
   co_return this->FailCall(CallPhase::eHead,
                            http::make_error_code(http::error::bad_status));
--- a/standin/platform/RawEngine.cpp
+++ b/standin/platform/RawEngine.cpp
@@ -67,12 +67,18 @@
 {
   boost::system::error_code error;
   boost::beast::flat_buffer buffer;
-  HttpRequest request;
-  co_await http::async_read(
-    aSocket, buffer, request, net::redirect_error(net::use_awaitable, error));
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
+  co_await http::async_read_header(
+    aSocket, buffer, parser, net::redirect_error(net::use_awaitable, error));
+  if (!error && this->readsBody) {
+    co_await http::async_read(
+      aSocket, buffer, parser, net::redirect_error(net::use_awaitable, error));
+  }
   if (error) {
     co_return; // a connection without a request
   }
+  const HttpRequest& request = parser.get();
   ++this->requests;
   this->attempts.push_back(HeaderOf(request, "Attempt-Id"));
   constexpr std::string_view kPlaceholder = "ATTEMPT";
--- a/standin/platform/RawEngine.h
+++ b/standin/platform/RawEngine.h
@@ -44,6 +44,7 @@
   std::size_t repeatedBytes = 0; // that all peers have taken
   std::size_t closedByPeer = 0;  // connections that a peer closed meanwhile
   ConnectionEnd end = ConnectionEnd::eClose;
+  bool readsBody = true; // otherwise it responds after the request's head
   bool stopsAfterResponse = false;
   std::size_t requests = 0;
   std::vector<std::string> attempts; // of the requests
