A stopping daemon takes late only what ends before it does

Cause: a request that had begun to arrive before the daemon stopped accepting was passed on however late it was read. At the end of the grace period the process ended, and the request with it.

Change: once the balancer sends no new callers any more, a request is taken only if its time ends before the process does; otherwise it is refused at once: 503, not run, Retry-After. Where the grace period is short, accepting ends at its half, so that what was taken last has time, too.

Evidence: a request read 3.5 s after SIGTERM was run by the engine and got no answer before; it gets 503 and no engine sees it now. A short one is served before and after.

Not taken: to refuse long requests from SIGTERM on. Most end long before their deadline, and for 2.8 s the balancer still sends new callers.

--- a/src/serve/CallerHandler.cpp
+++ b/src/serve/CallerHandler.cpp
@@ -161,6 +161,13 @@
                            ? std::min(callerTimeout, request.route->timeout)
                            : request.route->timeout;
   request.deadline = request.arrived + allowed;
+  if (!aState.MayTake(request.deadline)) {
+    return tl::unexpected(Refusal{ kServiceUnavailable,
+                                   "this daemon stops",
+                                   RetryDelayFor(aState, callerTimeout),
+                                   {},
+                                   request.Priority() });
+  }
   request.service = PickService(*request.route, request.incoming.attempt);
   request.suspects = SuspectsOf(request.incoming, request.service);
   const CrashSuspicion suspicion =
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -289,15 +289,19 @@
 ServingDaemon::StopGracefully()
 {
   const TimePoint startedAt = ServingState::Now();
-  const TimePoint deadline =
-    startedAt + (this->state.settings.bounds.grace - kExitReserve);
+  const Millis time = this->state.settings.bounds.grace - kExitReserve;
+  const TimePoint deadline = startedAt + time;
   this->state.stopping = true;
+  this->state.endsAt = deadline;
   this->callers.AnnounceClose();
   this->relays.AnnounceClose();
-  const TimePoint removedAt = startedAt + kBalancerRemovalDelay;
-  while (ServingState::Now() < std::min(removedAt, deadline)) {
+  // What is taken last also needs time to end.
+  const TimePoint removedAt =
+    startedAt + std::min(kBalancerRemovalDelay, time / 2);
+  while (ServingState::Now() < removedAt) {
     co_await Sleep(kStopPollInterval);
   }
+  this->state.removed = true;
   this->callers.Close();
   this->relays.Close();
   while (this->state.inProgress > 0 && ServingState::Now() < deadline) {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -98,6 +98,13 @@
    * the configuration in force and the speed that all daemons agree on. */
   [[nodiscard]] bool HasLongPrompt(const ServiceId& aService,
                                    std::uint64_t aTokens) const;
+  /** Whether a request can end before this daemon does. While the balancer
+   * still sends it callers, it takes them: most requests end long before their
+   * deadline. */
+  [[nodiscard]] bool MayTake(TimePoint aDeadline) const
+  {
+    return !this->removed || !this->endsAt || aDeadline <= *this->endsAt;
+  }
   /** Updates the teams' quotas with what the other daemons have reported about
    * them. */
   void UpdateQuotas(TimePoint aNow);
@@ -216,7 +223,11 @@
     [](const serving::StoreReadReport&) {};
   Random random; // for what must differ between daemons
   bool stopping = false;
-  std::size_t inProgress = 0; // requests in progress, relayed ones included
+  /** When this daemon, which stops, ends what still runs. */
+  std::optional<TimePoint> endsAt;
+  /** It stops, and the balancer sends it no new callers any more. */
+  bool removed = false;
+  std::size_t inProgress = 0;     // requests in progress, relayed ones included
   std::size_t relaysInProgress = 0; // of them, those for other daemons
   /** Destroyed first: requests that are still in progress use what is above. */
   WorkerPool pool{ 1 };
--- /dev/null
+++ b/test/CallerConnection.h
@@ -0,0 +1,29 @@
+/** \file
+ * An ordinary caller's connection that a test writes to in parts.
+ */
+#pragma once
+
+#include "edge/Endpoint.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace toucanshed::test {
+
+/** Thread safety: none; belongs to the test's thread. */
+class CallerConnection
+{
+public:
+  /** Connects. Throws if the server does not accept. */
+  explicit CallerConnection(const Endpoint& aServer);
+
+  void Send(const std::string& aText);
+  /** Returns all that arrives until the connection ends or stands still for
+   * long. */
+  std::string Receive();
+
+private:
+  boost::asio::ip::tcp::iostream stream;
+};
+
+} // namespace toucanshed::test
--- a/test/DaemonProcess.cpp
+++ b/test/DaemonProcess.cpp
@@ -88,6 +88,12 @@
   return this->process > 0;
 }
 
+void
+DaemonProcess::Terminate() const
+{
+  kill(this->process, SIGTERM);
+}
+
 std::uint64_t
 DaemonProcess::ProcessorTicks() const
 {
--- a/test/DaemonProcess.h
+++ b/test/DaemonProcess.h
@@ -25,6 +25,8 @@
   DaemonProcess& operator=(const DaemonProcess&) = delete;
 
   [[nodiscard]] bool IsAlive();
+  /** Asks the process to stop, as the platform does before planned work. */
+  void Terminate() const;
   /** Waits until the process has handled what it has received: it uses no more
    * processor time. One that always has something to do is not waited for long.
    */
--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -16,19 +16,19 @@
 constexpr Millis kStartTimeout{ 30000 };
 constexpr Millis kStartPollInterval{ 50 };
 constexpr int kEngineSlots = 6;
-constexpr int kRouteTimeoutMs = 5000;
+constexpr Millis kHangTime{ 60000 };
 /** Of the descriptors, those that the platform keeps for files. */
 constexpr std::size_t kFileDescriptors = 200;
 
 json::object
-RouteText(const char* aName, const char* aKind)
+RouteText(const char* aName, const char* aKind, Millis aTimeout)
 {
   constexpr int kTargetMs = 200;
   return json::object{ { "name", aName },
                        { "host", "service.example" },
                        { "path_prefix", std::string("/") + aName + "/" },
                        { "kind", aKind },
-                       { "timeout_ms", kRouteTimeoutMs },
+                       { "timeout_ms", aTimeout.count() },
                        { "target_latency_ms", kTargetMs },
                        { "gap_aim_ms", kTargetMs },
                        { "priority", 1 },
@@ -51,8 +51,9 @@
   return json::serialize(json::object{
     { "version", 1 },
     { "routes",
-      json::array{ RouteText("look", "idempotent"),
-                   RouteText("chat", "streaming") } },
+      json::array{ RouteText("look", "idempotent", aLimits.routeTimeout),
+                   RouteText("book", "non_idempotent", aLimits.routeTimeout),
+                   RouteText("chat", "streaming", aLimits.routeTimeout) } },
     { "services", json::array{ json::object{ { "name", "plain" } } } },
     { "limits", limits },
     { "tenants", json::array{ team } } });
@@ -182,25 +183,30 @@
 ServedPlatform::RenewEntries(Endpoint aEngine)
 {
   for (int sequence = 1;; ++sequence) {
-    const json::object entry{ { "service", "plain" },
-                              { "address", ToText(aEngine) },
-                              { "zone", "zone-1" },
-                              { "version", "v1" },
-                              { "slots", kEngineSlots },
-                              { "state", "ready" },
-                              { "cold_remaining_ms", 0 },
-                              { "born", 1 },
-                              { "seq", sequence } };
-    this->store.AppendKeyed(
-      "keyed.servers", "engine-1", json::serialize(entry));
+    const json::object entry{
+      { "service", "plain" },     { "address", ToText(aEngine) },
+      { "zone", "zone-1" },       { "version", "v1" },
+      { "slots", kEngineSlots },  { "state", "ready" },
+      { "cold_remaining_ms", 0 }, { "born", 1 },
+      { "seq", sequence }
+    };
+    for (std::size_t i = 1; i <= this->limits.engines; ++i) {
+      this->store.AppendKeyed(
+        "keyed.servers", "engine-" + std::to_string(i), json::serialize(entry));
+    }
     co_await Sleep(kEntryInterval);
   }
 }
 
 Task<void>
 ServedPlatform::HandleEngine(const HttpRequest& aRequest,
-                             HttpResponder& aResponder) const
+                             HttpResponder& aResponder)
 {
+  ++this->engineRequests;
+  if (aRequest.target() == "/book/hang") {
+    co_await Sleep(kHangTime);
+    co_return;
+  }
   HttpResponse response = MakeResponse(
     200, std::string(this->limits.responseBytes, 'r'), "text/plain");
   response.set("Attempt-Id", HeaderOf(aRequest, "Attempt-Id"));
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -12,6 +12,7 @@
 #include "standin/platform/Cloud.h"
 #include "standin/platform/Store.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -28,6 +29,8 @@
   std::size_t maxBodyBytes = std::size_t{ 4 } << 20U;
   Millis headerTimeout{ 120000 }; // so that clients that wait stay
   Millis idleTimeout{ 120000 };
+  Millis routeTimeout{ 5000 };
+  std::size_t engines = 1;        // listed, all at one address
   std::size_t responseBytes = 64; // of the engine's responses
   std::size_t eventsPerStream = 5;
   std::size_t eventBytes = 64;
@@ -46,7 +49,8 @@
   ServedPlatform& operator=(const ServedPlatform&) = delete;
 
   /** The head of an ordinary caller's request, without the empty line that ends
-   * it: path /look/ is idempotent, /chat/ streams. */
+   * it: path /look/ is idempotent, /book/ is not, /chat/ streams. The engine
+   * never responds to /book/hang. */
   static std::string RequestHead(const std::string& aPath = "/look/1",
                                  const std::string& aMethod = "POST");
   /** An ordinary caller's request. */
@@ -59,6 +63,12 @@
   /** The same with the whole text of the request. */
   [[nodiscard]] bool IsRequestAnswered(const std::string& aRequest) const;
 
+  /** Requests that the engine has received. */
+  [[nodiscard]] std::size_t EngineRequests() const
+  {
+    return this->engineRequests;
+  }
+
   const PlatformLimits limits;
   Endpoint callers;
   Endpoint readiness;
@@ -75,8 +85,9 @@
   void StartServer(const Endpoint& aEndpoint, HttpHandler aHandler);
   Task<void> RenewEntries(Endpoint aEngine);
   Task<void> HandleEngine(const HttpRequest& aRequest,
-                          HttpResponder& aResponder) const;
+                          HttpResponder& aResponder);
 
+  std::atomic<std::size_t> engineRequests{ 0 };
   WorkerPool pool{ 1 };
   standin::PlatformStore store;
   standin::PlatformCloud cloud;
