Requests that outlast a planned stop get an answer

Callers whose requests still ran at the end of the grace period saw their connection close.

Cause: the process ended its loop with the requests in it.

Change: 0.7 s before the end, each call in progress is ended for a reason of its own, which is neither its caller's nor its engine's fault: the caller gets 502, or 503 with a time to come back where no engine can have run it. A stream that has begun ends incomplete, as before. The engine is not blamed, no crash is suspected, no other engine is tried. daemon.stopped tells how many.

Evidence: a booking that hangs at its engine got no response before, 502 now.

Why it works: whether it may have run is decided where all failures decide it, so the answer promises no more than is known.

--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -91,9 +91,9 @@
 } // namespace
 
 void
-AbortHandle::Abort()
+AbortHandle::Abort(AbortReason aReason)
 {
-  this->aborted = true;
+  this->reason = this->reason.value_or(aReason);
   if (this->activeConnection != nullptr) {
     this->activeConnection->stream.close();
   }
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -41,6 +41,13 @@
 template<typename T>
 using CallResult = tl::expected<T, CallError>;
 
+/** Why a call is aborted. */
+enum class AbortReason
+{
+  eCallerLeft,
+  eProcessEnds, // its caller still waits
+};
+
 /**
  * Aborts a call from outside the coroutine that waits for it, for example when
  * the caller has disconnected. Closing the connection tells the engine at once
@@ -51,14 +58,19 @@
 class AbortHandle
 {
 public:
-  /** Closes the call's connection, now or as soon as there is one. */
-  void Abort();
-  [[nodiscard]] bool Aborted() const { return this->aborted; }
+  /** Closes the call's connection, now or as soon as there is one. The first
+   * reason holds. */
+  void Abort(AbortReason aReason = AbortReason::eCallerLeft);
+  [[nodiscard]] bool Aborted() const { return this->reason.has_value(); }
+  [[nodiscard]] std::optional<AbortReason> Reason() const
+  {
+    return this->reason;
+  }
 
 private:
   friend class HttpExchange;
 
-  bool aborted = false;
+  std::optional<AbortReason> reason;
   HttpConnection* activeConnection = nullptr;
 };
 
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -77,6 +77,18 @@
                                        aNow);
   })
 {
+  this->state.running.insert(this->abort.get());
+}
+
+RequestForwarder::~RequestForwarder()
+{
+  this->state.running.erase(this->abort.get());
+}
+
+bool
+RequestForwarder::IsEnding() const
+{
+  return this->abort->Reason() == AbortReason::eProcessEnds;
 }
 
 Millis
@@ -160,6 +172,10 @@
     RecordOfferedLoad(this->state, this->request, now);
   }
   while (true) {
+    if (this->IsEnding()) {
+      this->lastFailure = "this daemon stops";
+      break;
+    }
     if (this->abort->Aborted() || this->responder.HasReceiverLeft()) {
       this->LogEnd(0, "caller left");
       co_return;
@@ -295,9 +311,14 @@
 SendOutcome
 RequestForwarder::ClassifyError(const CallError& aError)
 {
-  if (this->abort->Aborted()) {
+  if (this->abort->Aborted() && !this->IsEnding()) {
     return SendOutcome::eCallerDisconnected;
   }
+  if (this->IsEnding()) {
+    this->failureCause = FailureCause::eOwnPaths; // nobody else's
+    return aError.phase == CallPhase::eConnect ? SendOutcome::eNotRun
+                                               : SendOutcome::eMayHaveRun;
+  }
   this->transportFailed = true;
   this->timedOut = aError.code == ErrorCode::eTimeout;
   if (aError.phase == CallPhase::eConnect) {
@@ -490,10 +511,11 @@
   this->StopEvidence(outcome);
   this->RecordPossibleRun(outcome);
   this->loadGuard = nullptr;
-  if (outcome == SendOutcome::eMayHaveRun) {
+  const bool isFailure = !this->IsEnding();
+  if (isFailure && outcome == SendOutcome::eMayHaveRun) {
     co_await this->CheckForCrash(aPlacement.backend);
   }
-  if (outcome == SendOutcome::eMayHaveRun || notConnected) {
+  if (isFailure && (outcome == SendOutcome::eMayHaveRun || notConnected)) {
     co_await this->RecordFailedSend(aPlacement.backend, outcome);
   }
   if (this->failureCause == FailureCause::eEngine) {
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -57,6 +57,7 @@
   RequestForwarder(ServingState& aState,
                    ServingRequest aRequest,
                    HttpResponder& aResponder);
+  ~RequestForwarder();
   RequestForwarder(const RequestForwarder&) = delete;
   RequestForwarder& operator=(const RequestForwarder&) = delete;
 
@@ -72,6 +73,8 @@
     eGiveUp, // there is nowhere to send it
   };
 
+  /** Whether the process ends and the request must get its answer now. */
+  [[nodiscard]] bool IsEnding() const;
   /** Sends to a back end if one may get the request now. */
   Task<Step> TryBackend();
   /** Sends through another daemon. */
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -9,6 +9,7 @@
 #include "StoreWatcher.h"
 #include "base/LogWriter.h"
 #include "edge/ClientMetrics.h"
+#include "edge/HttpExchange.h"
 #include "edge/Worker.h"
 
 #include <array>
@@ -32,6 +33,8 @@
 constexpr Millis kBalancerRemovalDelay{ 2800 };
 /** Part of the grace period that is left for the exit itself. */
 constexpr Millis kExitReserve{ 700 };
+/** Of that, time in which callers whose requests still run get an answer. */
+constexpr Millis kLastAnswersTime{ 400 };
 constexpr Millis kStopPollInterval{ 50 };
 /** The largest body of a request for readiness or metrics. */
 constexpr std::uint64_t kMaxProbeBodyBytes = 4096;
@@ -307,13 +310,28 @@
   while (this->state.inProgress > 0 && ServingState::Now() < deadline) {
     co_await Sleep(kStopPollInterval);
   }
+  const std::size_t cut = this->state.inProgress;
+  co_await this->EndRunning();
   this->state.log.Emit(
     Event("daemon.stopped")
+      .With("cut", cut)
       .With("in_progress", this->state.inProgress)
       .With("ms", (ServingState::Now() - startedAt).count()));
   this->state.pool.Stop();
 }
 
+Task<void>
+ServingDaemon::EndRunning()
+{
+  for (AbortHandle* call : this->state.running) {
+    call->Abort(AbortReason::eProcessEnds);
+  }
+  const TimePoint end = ServingState::Now() + kLastAnswersTime;
+  while (this->state.inProgress > 0 && ServingState::Now() < end) {
+    co_await Sleep(kStopPollInterval);
+  }
+}
+
 Task<void>
 ServingDaemon::ReloadOnSignal()
 {
--- a/src/serve/ServingDaemon.h
+++ b/src/serve/ServingDaemon.h
@@ -58,6 +58,8 @@
   Task<void> StopOnSignal();
   Task<void> ReloadOnSignal();
   Task<void> StopGracefully();
+  /** Ends the requests in progress, so that each caller gets an answer. */
+  Task<void> EndRunning();
   /** Writes the log in batches and reports what is measured. */
   Task<void> Housekeeping();
   /** Measures the lag of the loop, and logs when it begins and ends. */
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -43,10 +43,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace toucanshed {
 
+class AbortHandle;
+
 /**
  * A daemon on the platform has one core, so it runs one worker and its tables
  * need no locks.
@@ -227,6 +230,7 @@
   std::optional<TimePoint> endsAt;
   /** It stops, and the balancer sends it no new callers any more. */
   bool removed = false;
+  std::set<AbortHandle*> running; // the calls for requests in progress
   std::size_t inProgress = 0;     // requests in progress, relayed ones included
   std::size_t relaysInProgress = 0; // of them, those for other daemons
   /** Destroyed first: requests that are still in progress use what is above. */
--- a/test/clients/PlannedStopTest.cpp
+++ b/test/clients/PlannedStopTest.cpp
@@ -12,6 +12,7 @@
 constexpr int kLongDeadlineMs = 40000;
 constexpr int kShortDeadlineMs = 1500;
 constexpr unsigned kOk = 200;
+constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 /** After SIGTERM: the balancer sends no new callers any more, and the grace
  * period is far from over. */
@@ -88,4 +89,17 @@
   CHECK(StatusOf(response) == kOk);
 }
 
+// Guards against a request that still runs as the grace period ends, and whose
+// caller gets no answer at all.
+TEST_CASE("a request that outlasts a planned stop gets an answer")
+{
+  ServedPlatform platform(LongRoutes());
+  CallerConnection running(platform.callers);
+  const std::size_t before = platform.EngineRequests();
+  running.Send(HeadOf("/book/hang", kLongDeadlineMs) + "{}");
+  AwaitEngine(platform, before);
+  platform.daemon->Terminate();
+  CHECK(StatusOf(running.Receive()) == kBadGateway);
+}
+
 } // namespace toucanshed::test
