A response is believed only once it is the request's own

Cause: the status and what the engine says of itself were read before the Attempt-Id was compared.

Change: the comparison comes first; nothing in the response of another request is read. A late 421 does not mark its engine as leaving any more either.

--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -26,17 +26,18 @@
 {
   const BackendResponseHead head =
     this->state.wire.backends.read(aExchange.Status(), aExchange.Headers());
+  // Before anything else in it is believed: it may be a late or duplicate
+  // response to another request.
+  if (head.attempt != this->request.incoming.attempt) {
+    this->lastFailure = "answer of another request";
+    co_return SendOutcome::eMayHaveRun;
+  }
   if (head.otherInstance) {
     this->MarkLeaving();
     this->lastFailure = "another back end has the address";
     co_return SendOutcome::eNotRun;
   }
   this->ApplyEngineNotices(head);
-  if (head.attempt != this->request.incoming.attempt) {
-    // A late or duplicate response to another request.
-    this->lastFailure = "answer of another request";
-    co_return SendOutcome::eMayHaveRun;
-  }
   if (head.notRun) {
     this->lastFailure =
       "turned away with " + std::to_string(aExchange.Status());
--- a/test/failure/BrokenResponseTest.cpp
+++ b/test/failure/BrokenResponseTest.cpp
@@ -100,4 +100,28 @@
   CHECK(response.body.find("forged") == std::string::npos);
 }
 
+// Guards against a booking that runs twice, as a late response to another
+// request is taken for a rejection of this one.
+TEST_CASE("a late rejection of another request rejects nothing else")
+{
+  std::uint16_t port = 26300;
+  for (const char* status : { "421 Misdirected Request",
+                              "503 Service Unavailable",
+                              "429 Too Many Requests" }) {
+    PlatformHarness harness(port);
+    port += 20;
+    auto& engine = harness.AddRawEngine("raw", "plain");
+    engine.response = "HTTP/1.1 " + std::string(status) +
+                      "\r\nAttempt-Id: of-another\r\nNot-Executed: 1\r\n"
+                      "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+    auto& other = harness.AddEngine("other", "plain");
+    harness.state->backends.Find(InstanceId{ "other" })->remoteLoad.running = 4;
+    const CallerResponse response = SendOnce(harness, "/book/1");
+    CHECK(engine.requests == 1);
+    CHECK(other.receivedRequests.empty());
+    CHECK(response.status == 502);
+    CHECK_FALSE(harness.state->backends.Find(InstanceId{ "raw" })->leaving);
+  }
+}
+
 } // namespace toucanshed::test
