--- a/test/failure/OddEntryTest.cpp
+++ b/test/failure/OddEntryTest.cpp
@@ -137,6 +137,22 @@
   CHECK(harness.state->backends.All().size() == 1);
 }
 
+// Guards against an engine that is not used as its remaining warm-up is no
+// whole number of milliseconds.
+TEST_CASE("an entry with a fraction of warm-up names its engine")
+{
+  PlatformHarness harness(26380);
+  harness.AddEngine("e1", "plain");
+  const std::string entry =
+    WithField(harness.EntryOf("e1"), "cold_remaining_ms", "812.5");
+  harness.store.AppendKeyed(kServers, "e2", entry);
+  harness.Run([](PlatformHarness& aHarness) -> Task<void> {
+    aHarness.state->pool.First().Spawn(WatchBackendList(*aHarness.state));
+    co_await Settle();
+  }(harness));
+  CHECK(harness.state->backends.Find(InstanceId{ "e2" }) != nullptr);
+}
+
 // Guards against an engine that stays unused for a minute after another writer
 // has overwritten its entry once.
 TEST_CASE("an engine is used again once it renews an overwritten entry")
