--- a/standin/platform/Store.cpp
+++ b/standin/platform/Store.cpp
@@ -85,6 +85,18 @@
   return decoded;
 }
 
+Task<void>
+SendWithoutEnd(HttpResponder& aResponder)
+{
+  constexpr std::size_t kChunkBytes = std::size_t{ 64 } << 10U;
+  HttpResponse head = MakeResponse(kOk, "");
+  bool written = co_await aResponder.Begin(std::move(head));
+  while (written) {
+    std::string chunk(kChunkBytes, ' ');
+    written = co_await aResponder.Write(std::move(chunk));
+  }
+}
+
 } // namespace
 
 std::uint64_t
@@ -248,6 +260,10 @@
     co_await aResponder.Send(std::move(response));
     co_return;
   }
+  if (this->endless) {
+    co_await SendWithoutEnd(aResponder);
+    co_return;
+  }
   const std::string_view path = PathOf(aRequest.target());
   HttpResponse response = MakeResponse(404, "");
   if (path == "/log-append" && this->holdAppends) {
--- a/standin/platform/Store.h
+++ b/standin/platform/Store.h
@@ -8,6 +8,7 @@
 #include "edge/HttpTypes.h"
 #include "edge/Worker.h"
 
+#include <atomic>
 #include <map>
 #include <optional>
 #include <string>
@@ -48,6 +49,8 @@
   std::size_t maxRecordsPerRead = 100000; // per response to a read
   std::size_t maxRecordsPerPage = 500;    // of the latest records
   std::size_t maxBytesPerPage = 1U << 20U;
+  /** Responses have bodies without end, as long as the peer reads them. */
+  std::atomic<bool> endless{ false };
   /** Each page of the latest records is the first one. */
   bool ignoresAfter = false;
   std::size_t reads = 0;
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -69,6 +69,9 @@
     return this->engineRequests;
   }
 
+  /** From now on the store's responses have no end. */
+  void MakeStoreEndless() { this->store.endless = true; }
+
   const PlatformLimits limits;
   Endpoint callers;
   Endpoint readiness;
--- a/test/clients/OtherWriterTest.cpp
+++ b/test/clients/OtherWriterTest.cpp
@@ -1,4 +1,4 @@
-// A daemon that starts beside what another writer has left in the list.
+// A daemon beside a store with another writer's entries, or in trouble.
 #include "test/ServedPlatform.h"
 
 #include <catch2/catch.hpp>
@@ -39,4 +39,13 @@
   CheckSurvives(platform);
 }
 
+// Guards against a daemon that keeps all of a response of the store that has no
+// end, and runs out of memory.
+TEST_CASE("responses of the store without end are not held")
+{
+  ServedPlatform platform{ {} };
+  platform.MakeStoreEndless();
+  CheckSurvives(platform);
+}
+
 } // namespace toucanshed::test
