--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -65,6 +65,10 @@
   Task<void> Run();
 
 private:
+  /** The time left must allow a back end to begin its response; a send with
+   * less would only use the back end's time. */
+  static constexpr Millis kMinTimeLeft{ 20 };
+
   /** What one pass of Run has done. */
   enum class Step
   {
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -304,7 +304,7 @@
   while (ServingState::Now() < removedAt) {
     co_await Sleep(kStopPollInterval);
   }
-  this->state.removed = true;
+  this->state.outOfRotation = true;
   this->callers.Close();
   this->relays.Close();
   while (this->state.inProgress > 0 && ServingState::Now() < deadline) {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -106,7 +106,7 @@
    * deadline. */
   [[nodiscard]] bool MayTake(TimePoint aDeadline) const
   {
-    return !this->removed || !this->endsAt || aDeadline <= *this->endsAt;
+    return !this->outOfRotation || !this->endsAt || aDeadline <= *this->endsAt;
   }
   /** Updates the teams' quotas with what the other daemons have reported about
    * them. */
@@ -229,7 +229,7 @@
   /** When this daemon, which stops, ends what still runs. */
   std::optional<TimePoint> endsAt;
   /** It stops, and the balancer sends it no new callers any more. */
-  bool removed = false;
+  bool outOfRotation = false;
   std::set<AbortHandle*> running; // the calls for requests in progress
   std::size_t inProgress = 0;     // requests in progress, relayed ones included
   std::size_t relaysInProgress = 0; // of them, those for other daemons
