A rejection without an Attempt-Id is the request's own

Cause: compared the Attempt-Id before all else, so a 421 that states none, as an engine at a reused address may send it, counted as the response of another request: the booking got 502, and the engine stayed in use.

Change: a 421 without an id is believed.

--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -27,8 +27,11 @@
   const BackendResponseHead head =
     this->state.wire.backends.read(aExchange.Status(), aExchange.Headers());
   // Before anything else in it is believed: it may be a late or duplicate
-  // response to another request.
-  if (head.attempt != this->request.incoming.attempt) {
+  // response to another request. Those bear that request's id; an engine that
+  // is not the expected one may state none.
+  const bool isOwn = head.attempt == this->request.incoming.attempt ||
+                     (head.attempt.Empty() && head.otherInstance);
+  if (!isOwn) {
     this->lastFailure = "answer of another request";
     co_return SendOutcome::eMayHaveRun;
   }
