Log why a request was not sent once more

Cause: when a send failed and no other followed, the log did not say why: the kind, the route's attempts, the retry allowance, the lack of a back end and the end of the process all looked the same, so the hypotheses of the incident could not be told apart. It did not say either how long the back end had been silent, nor how much time was left.

Change: request.sent has silent_ms and left_ms, request.ended has not_repeated. The decisions are the same.

--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -76,20 +76,50 @@
   return std::min(left, std::max(targets, kMinAttemptTimeout));
 }
 
-bool
-RequestForwarder::IsRepeatable() const
+std::optional<RepeatRefusal>
+RequestForwarder::ForbidsRepeat() const
 {
-  if (this->sends == 0) {
-    return true;
+  if (this->sends >= kMaxSends) {
+    return RepeatRefusal::eSends;
+  }
+  if (!this->mayHaveRun) {
+    return std::nullopt;
   }
   // The daemon that has admitted a relayed request decides about its repeats.
+  if (this->request.relayed) {
+    return RepeatRefusal::eRelayed;
+  }
   // A request that may have crashed its back end is left to its caller: a retry
   // at once could crash the next one too.
-  const bool mayRunAgain =
-    !this->request.relayed && !this->mayHaveCrashed &&
-    IsRetrySafe(this->request.route->kind) &&
-    this->possibleRuns < this->request.route->maxBackends;
-  return this->sends < kMaxSends && (!this->mayHaveRun || mayRunAgain);
+  if (this->mayHaveCrashed) {
+    return RepeatRefusal::eMayCrash;
+  }
+  if (!IsRetrySafe(this->request.route->kind)) {
+    return RepeatRefusal::eKind;
+  }
+  if (this->possibleRuns >= this->request.route->maxBackends) {
+    return RepeatRefusal::eRuns;
+  }
+  return std::nullopt;
+}
+
+std::string
+RequestForwarder::NotRepeated() const
+{
+  if (this->sends == 0 || !this->lastSendFailed) {
+    return "";
+  }
+  if (this->IsEnding()) {
+    return NameOf(RepeatRefusal::eStopping);
+  }
+  if (const auto forbidden = this->ForbidsRepeat()) {
+    return NameOf(*forbidden);
+  }
+  if (this->TimeLeft() < kMinTimeLeft) {
+    return NameOf(RepeatRefusal::eNoTime);
+  }
+  return NameOf(this->allowanceUsedUp ? RepeatRefusal::eAllowance
+                                      : RepeatRefusal::eNoBackEnd);
 }
 
 bool
@@ -105,6 +135,7 @@
     this->mayHaveRun ? RetryCause::eBroken : RetryCause::eRejected;
   const bool paid = this->state.retries.TryTake(
     this->request.service, cause, ServingState::Now());
+  this->allowanceUsedUp = !paid;
   if (paid) {
     this->retryInFlight.emplace(this->state.retries, this->request.service);
   }
@@ -277,6 +308,7 @@
 Task<void>
 RequestForwarder::EndWithoutResponse(SendOutcome aLast)
 {
+  this->lastSendFailed = true;
   if (this->responder.Started()) {
     // The response has no end marker, so its connection closes and the caller
     // sees that it is incomplete.
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "QueuePlace.h"
+#include "RepeatRefusal.h"
 #include "ServingRequest.h"
 #include "coord/AdmissionPolicy.h"
 #include "coord/BackendTable.h"
@@ -132,10 +133,18 @@
   [[nodiscard]] Millis PermitTimeLeft();
   /** Gets the permit for a send to the back end, if it needs one. */
   Task<bool> AcquirePermit(InstanceId aBackend);
+  /** Why it may not be sent once more, whatever the retry allowance has. */
+  [[nodiscard]] std::optional<RepeatRefusal> ForbidsRepeat() const;
   /** Whether it may be sent now, or once more, if the retry allowance has room.
    */
-  [[nodiscard]] bool IsRepeatable() const;
+  [[nodiscard]] bool IsRepeatable() const
+  {
+    return this->sends == 0 || !this->ForbidsRepeat();
+  }
   [[nodiscard]] bool TakeSendAttempt();
+  /** Why the request ends with its last send's failure, for the log; empty
+   * when nothing was sent or the last send brought the response. */
+  [[nodiscard]] std::string NotRepeated() const;
   /** Returns the credit of a retry of which no byte was sent. */
   void ReturnUnsentRetry();
   /** Resets what belongs to one send. */
@@ -234,6 +243,8 @@
                SendOutcome aOutcome,
                const std::string& aReason);
   void LogEnd(unsigned aStatus, const std::string& aReason);
+  /** Time since the current send's last sign of its back end. */
+  [[nodiscard]] Millis SilentTime(TimePoint aNow) const;
   [[nodiscard]] Millis TimeLeft() const;
   [[nodiscard]] Millis AttemptTimeout() const;
   Placer& ServicePlacer();
@@ -272,6 +283,8 @@
   unsigned failedConnections = 0;
   unsigned possibleRuns = 0; // sends after which it may have run
   bool mayHaveRun = false;
+  bool allowanceUsedUp = false; // when it was to be sent once more
+  bool lastSendFailed = false;  // and the request ends with that
   bool usageCounted = false;    // towards the team's usage
   bool responseStarted = false; // the current back end has begun its response
   bool transportFailed = false; // the current send ended without a response
--- a/src/serve/RequestLog.cpp
+++ b/src/serve/RequestLog.cpp
@@ -3,6 +3,7 @@
 
 #include "ServingState.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace toucanshed {
@@ -54,6 +55,12 @@
 
 } // namespace
 
+Millis
+RequestForwarder::SilentTime(TimePoint aNow) const
+{
+  return aNow - std::max(this->sentAt, this->progressAt);
+}
+
 void
 RequestForwarder::LogSend(const Placement& aPlacement,
                           SendOutcome aOutcome,
@@ -74,6 +81,8 @@
       .With("outcome", NameOf(aOutcome))
       .With("why", aOutcome == SendOutcome::eResponded ? "" : aReason)
       .With("ms", (now - this->sentAt).count())
+      .With("silent_ms", this->SilentTime(now).count())
+      .With("left_ms", this->TimeLeft().count())
       .With("engine_leaving", this->engineLeaving ? 1 : 0)
       .With("engine_rest_ms", this->engineRest.count())
       .With("expected_ms", static_cast<std::int64_t>(aPlacement.expectedMs))
@@ -108,6 +117,7 @@
       .With("status", aStatus)
       .With("why", aReason)
       .With("sends", this->sends)
+      .With("not_repeated", this->NotRepeated())
       .With("peer", this->peer)
       .With("within_limit",
             this->ticket.limitUse == LimitDecision::eAllowed ? 1 : 0)
