Show that a run ends while its engine is silent

What callers saw: streams without their end, and 502s with most of their time left, from engines that paused and went on.

The stand-in engine is silent for as long as the path says, and has a route whose streams can be resumed.

--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -20,8 +20,23 @@
 /** Of the descriptors, those that the platform keeps for files. */
 constexpr std::size_t kFileDescriptors = 200;
 
+/** The number at the end of the path, after a word; 0 if it has no such word.
+ */
+Millis
+TimeInPath(std::string_view aPath, std::string_view aWord)
+{
+  const auto start = aPath.rfind(aWord);
+  if (start == std::string_view::npos) {
+    return Millis(0);
+  }
+  return Millis(std::stoi(std::string(aPath.substr(start + aWord.size()))));
+}
+
 json::object
-RouteText(const char* aName, const char* aKind, Millis aTimeout)
+RouteText(const char* aName,
+          const char* aKind,
+          Millis aTimeout,
+          bool aResumable = false)
 {
   constexpr int kTargetMs = 200;
   return json::object{ { "name", aName },
@@ -34,7 +49,7 @@
                        { "priority", 1 },
                        { "service", "plain" },
                        { "max_attempts", 2 },
-                       { "resumable", false } };
+                       { "resumable", aResumable } };
 }
 
 std::string
@@ -51,9 +66,11 @@
   return json::serialize(json::object{
     { "version", 1 },
     { "routes",
-      json::array{ RouteText("look", "idempotent", aLimits.routeTimeout),
-                   RouteText("book", "non_idempotent", aLimits.routeTimeout),
-                   RouteText("chat", "streaming", aLimits.routeTimeout) } },
+      json::array{
+        RouteText("look", "idempotent", aLimits.routeTimeout),
+        RouteText("book", "non_idempotent", aLimits.routeTimeout),
+        RouteText("chat", "streaming", aLimits.routeTimeout),
+        RouteText("keep", "streaming", aLimits.routeTimeout, true) } },
     { "services", json::array{ json::object{ { "name", "plain" } } } },
     { "limits", limits },
     { "tenants", json::array{ team } } });
@@ -207,17 +224,44 @@
     co_await Sleep(kHangTime);
     co_return;
   }
+  const std::string path(aRequest.target());
+  co_await Sleep(TimeInPath(path, "before-"));
+  const Millis silence = TimeInPath(path, "within-");
+  const bool isStream =
+    path.starts_with("/chat/") || path.starts_with("/keep/");
   HttpResponse response = MakeResponse(
     200, std::string(this->limits.responseBytes, 'r'), "text/plain");
   response.set("Attempt-Id", HeaderOf(aRequest, "Attempt-Id"));
   response.set("Response-Seal", "seal");
-  if (!aRequest.target().starts_with("/chat/")) {
+  if (!isStream && silence == Millis(0)) {
     co_await aResponder.Send(std::move(response));
     co_return;
   }
-  response.set("Content-Type", "text/event-stream");
-  co_await aResponder.Begin(std::move(response));
-  for (std::size_t i = 0; i < this->limits.eventsPerStream; ++i) {
+  if (isStream) {
+    response.set("Content-Type", "text/event-stream");
+  }
+  const std::string resumeAfter = HeaderOf(aRequest, "Last-Event-ID");
+  const std::size_t first =
+    resumeAfter.empty() ? 0 : std::stoul(resumeAfter) + 1;
+  response.body().clear();
+  co_await this->SendEvents(std::move(response), first, silence, aResponder);
+}
+
+Task<void>
+ServedPlatform::SendEvents(HttpResponse aHead,
+                           std::size_t aFirst,
+                           Millis aSilence,
+                           HttpResponder& aResponder)
+{
+  constexpr std::size_t kEventsBeforeSilence = 4;
+  co_await aResponder.Begin(std::move(aHead));
+  for (std::size_t i = aFirst; i < this->limits.eventsPerStream; ++i) {
+    if (i > aFirst) {
+      co_await Sleep(this->limits.eventInterval);
+    }
+    if (i == kEventsBeforeSilence) {
+      co_await Sleep(aSilence);
+    }
     std::string event = "id: " + std::to_string(i) +
                         "\ndata: " + std::string(this->limits.eventBytes, 'e') +
                         "\n\n";
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -33,6 +33,7 @@
   std::size_t engines = 1;        // listed, all at one address
   std::size_t responseBytes = 64; // of the engine's responses
   std::size_t eventsPerStream = 5;
+  Millis eventInterval{ 0 };
   std::size_t eventBytes = 64;
   /** Entries of the list that another writer has left, as key and value. */
   std::vector<std::pair<std::string, std::string>> otherEntries = {};
@@ -49,8 +50,10 @@
   ServedPlatform& operator=(const ServedPlatform&) = delete;
 
   /** The head of an ordinary caller's request, without the empty line that ends
-   * it: path /look/ is idempotent, /book/ is not, /chat/ streams. The engine
-   * never responds to /book/hang. */
+   * it: path /look/ is idempotent, /book/ is not, /chat/ streams, and streams
+   * of /keep/ can be resumed. The engine never responds to /book/hang. It is
+   * silent before the response to a path that ends in before-MS, and within
+   * that to within-MS, for that many milliseconds. */
   static std::string RequestHead(const std::string& aPath = "/look/1",
                                  const std::string& aMethod = "POST");
   /** An ordinary caller's request. */
@@ -89,6 +92,12 @@
   Task<void> RenewEntries(Endpoint aEngine);
   Task<void> HandleEngine(const HttpRequest& aRequest,
                           HttpResponder& aResponder);
+  /** Sends the response in events, or in pieces like them.
+   * \param aSilence within it, after the fourth one */
+  Task<void> SendEvents(HttpResponse aHead,
+                        std::size_t aFirst,
+                        Millis aSilence,
+                        HttpResponder& aResponder);
 
   std::atomic<std::size_t> engineRequests{ 0 };
   WorkerPool pool{ 1 };
--- /dev/null
+++ b/test/clients/SilentEngineTest.cpp
@@ -0,0 +1,115 @@
+// Requests at engines that say nothing for a while and then go on.
+#include "test/CallerConnection.h"
+#include "test/CallerSocket.h"
+#include "test/ServedPlatform.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace toucanshed::test {
+namespace {
+
+constexpr int kDeadlineMs = 10000;
+constexpr std::size_t kEvents = 12;
+constexpr std::size_t kCallers = 5;
+constexpr std::chrono::milliseconds kCallerInterval{ 50 };
+/** From the first request to the stop, a part of the silence. */
+constexpr std::chrono::milliseconds kUntilStop{ 700 };
+
+PlatformLimits
+PausingEngines(std::size_t aEngines)
+{
+  PlatformLimits limits;
+  limits.routeTimeout = Millis(kDeadlineMs);
+  limits.engines = aEngines;
+  limits.eventsPerStream = kEvents;
+  limits.eventInterval = Millis(100);
+  return limits;
+}
+
+std::string
+RequestTo(const std::string& aPath)
+{
+  return "POST " + aPath +
+         " HTTP/1.1\r\nHost: service.example\r\nAttempt-Id: a1\r\n"
+         "Authorization: Token key-one\r\nConnection: close\r\nDeadline-Ms: " +
+         std::to_string(kDeadlineMs) + "\r\nContent-Length: 2\r\n\r\n{}";
+}
+
+/** Whether the response has a 200, its end marker if it has chunks, and the
+ * number of events that streams have, each once. */
+bool
+IsWhole(const std::string& aResponse, bool aHasEvents)
+{
+  const bool isChunked =
+    aResponse.find("Transfer-Encoding: chunked") != std::string::npos;
+  bool whole = StatusOf(aResponse) == 200 &&
+               (!isChunked || aResponse.ends_with("0\r\n\r\n"));
+  for (std::size_t i = 0; aHasEvents && i < kEvents; ++i) {
+    const std::string event = "id: " + std::to_string(i) + "\n";
+    const auto found = aResponse.find(event);
+    whole = whole && found != std::string::npos &&
+            aResponse.find(event, found + 1) == std::string::npos;
+  }
+  return whole;
+}
+
+/** Sends requests a little apart, and returns how many get a whole response.
+ * \param aStop whether the daemon is asked to stop meanwhile */
+std::size_t
+CountWhole(const ServedPlatform& aPlatform,
+           const std::string& aPath,
+           bool aHasEvents,
+           bool aStop = false)
+{
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<CallerConnection>(aPlatform.callers));
+    callers.back()->Send(RequestTo(aPath));
+    std::this_thread::sleep_for(kCallerInterval);
+  }
+  if (aStop) {
+    std::this_thread::sleep_for(kUntilStop);
+    aPlatform.daemon->Terminate();
+  }
+  std::size_t whole = 0;
+  for (const auto& caller : callers) {
+    const std::string response = caller->Receive();
+    whole += IsWhole(response, aHasEvents) ? 1 : 0;
+  }
+  return whole;
+}
+
+} // namespace
+
+// Guards against cutting a stream whose engine pauses, because another one may
+// resume it.
+TEST_CASE("a resumable stream whose engine pauses ends whole")
+{
+  for (const std::size_t engines : { 1U, 2U }) {
+    CAPTURE(engines);
+    const ServedPlatform platform(PausingEngines(engines));
+    CHECK(CountWhole(platform, "/keep/within-2500", true) == kCallers);
+    CHECK(CountWhole(platform, "/keep/before-2500", true) == kCallers);
+  }
+}
+
+// Guards against giving up a call whose engine is silent, because it may be
+// repeated.
+TEST_CASE("an idempotent request whose engine pauses is answered")
+{
+  const ServedPlatform platform(PausingEngines(2));
+  CHECK(CountWhole(platform, "/look/within-2500", true) == kCallers);
+  CHECK(CountWhole(platform, "/look/before-2500", false) == kCallers);
+}
+
+// Guards against cutting streams of pausing engines at a daemon that stops.
+TEST_CASE("a resumable stream whose engine pauses outlasts a planned stop")
+{
+  const ServedPlatform platform(PausingEngines(2));
+  CHECK(CountWhole(platform, "/keep/within-2500", true, true) == kCallers);
+}
+
+} // namespace toucanshed::test
