Let silence end no send

What callers saw: streams that can be resumed cut with a 200, and idempotent calls answered with 502, most of their time left, while the engine still worked and would have ended its answer.

Cause: a send of a kind that may be repeated was ended after 1.6 s of silence (2.5 latency targets before the response), in the expectation that another engine takes over. Whether it does was decided after the run was lost, by the retry allowance, the runs allowed, and a place elsewhere; a daemon with little traffic has no allowance at all. Relays had the same timeout, doubled. The class of fault: a timeout that gives up what is there for what may come.

Change: sends and relays last until the request's time is over, whatever the kind. Silence counts against the engine instead: one that has said nothing to any request for that long has one failure, and then gets one request at a time until it speaks. Calls that may be repeated probe their connection, so a machine or a path that is gone still ends them, after 3 s without an acknowledgement.

Ways not taken: see docs/design/reach.md, "Silent engines".

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -20,9 +20,11 @@
     const BackendLoad own = backend.localLoad;
     const std::uint64_t held = backend.heldTokens;
     const std::int64_t unread = backend.unreadResponses;
+    const std::int64_t silent = backend.silentRequests;
     backend = Backend{};
     backend.localLoad = own;
     backend.unreadResponses = unread;
+    backend.silentRequests = silent;
     backend.heldTokens = held;
   }
   if (backend.entryUnusable) {
@@ -175,6 +177,7 @@
   if (Backend* backend = this->Find(aId)) {
     backend->lastProgressAt = aNow;
     backend->unresponsiveSince = TimePoint{};
+    backend->silentSince = TimePoint{};
   }
 }
 
@@ -260,6 +263,7 @@
     backend.consecutiveFailures = 0;
     backend.failureRate = 0;
     backend.unresponsiveSince = TimePoint{};
+    backend.silentSince = TimePoint{};
     backend.pausedUntil = TimePoint{};
   }
 }
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -104,6 +104,10 @@
   /** Of this daemon's requests there, those whose callers do not read what it
    * has sent. */
   std::int64_t unreadResponses = 0;
+  /** Of this daemon's requests there, those that have been without a sign of it
+   * for long; see SilentSends. */
+  std::int64_t silentRequests = 0;
+  TimePoint silentSince; // to all of them; 0: it is not
 
   /** Its entry is missing and the grace period has expired. */
   [[nodiscard]] bool GraceExpired(TimePoint aNow) const
@@ -112,11 +116,15 @@
   }
 
   /** It has requests of this daemon and has sent nothing for kStallTimeout. It
-   * hangs or is unreachable, and more requests to it would hang too. */
+   * hangs or is unreachable, and more requests to it would hang too. One that
+   * was silent for longer gets one request at a time, which shows whether it is
+   * back, until it has sent something. */
   [[nodiscard]] bool IsStalled(TimePoint aNow) const
   {
-    return this->localLoad.running > this->unreadResponses &&
-           aNow - this->lastProgressAt > kStallTimeout;
+    const bool awaitsData =
+      this->localLoad.running > this->unreadResponses + this->silentRequests;
+    return awaitsData && (this->silentSince.ms != 0 ||
+                          aNow - this->lastProgressAt > kStallTimeout);
   }
 
   /** Engines start a response within a few hundred milliseconds, also behind
--- a/src/coord/EngineReach.cpp
+++ b/src/coord/EngineReach.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+const char*
+NameOf(FailureCause aCause)
+{
+  switch (aCause) {
+    case FailureCause::eEngine:
+      return "engine";
+    case FailureCause::eFailureDomain:
+      return "failure_domain";
+    case FailureCause::eOwnPaths:
+      return "own_paths";
+  }
+  return "";
+}
+
 std::size_t
 ReachCheck::AcceptedCount() const
 {
--- a/src/coord/EngineReach.h
+++ b/src/coord/EngineReach.h
@@ -24,6 +24,10 @@
   eOwnPaths,      // this daemon reaches no engine, and another daemon does
 };
 
+/** The name in the log. Thread safety: pure. */
+const char*
+NameOf(FailureCause aCause);
+
 /** A check: new connections to several engines at once. */
 struct ReachCheck
 {
--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -61,6 +61,23 @@
   aSocket.set_option(UserTimeout(kUserTimeoutMs), ignored);
 }
 
+/** Makes the kernel probe a connection on which nothing arrives. The first
+ * probe is sent after a second; one that has gone without an acknowledgement
+ * for the TCP_USER_TIMEOUT is closed. */
+void
+SetKeepAliveProbes(boost::asio::ip::tcp::socket& aSocket, bool aProbes)
+{
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  using Idle = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+    net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  boost::system::error_code ignored;
+  aSocket.set_option(net::socket_base::keep_alive(aProbes), ignored);
+  aSocket.set_option(Idle(kIdleSeconds), ignored);
+  aSocket.set_option(Interval(kIntervalSeconds), ignored);
+}
+
 /** Makes the kernel drop what is unsent when the connection is closed. A
  * request that was given up while its path was silent would otherwise arrive
  * once the path is back, after it was sent again elsewhere. */
@@ -114,6 +131,13 @@
   }
 }
 
+void
+HttpExchange::SetProbes()
+{
+  SetKeepAliveProbes(this->connection->stream.socket(),
+                     this->timeouts.probesPeer);
+}
+
 void
 HttpExchange::CloseConnection()
 {
@@ -242,6 +266,7 @@
     }
   }
   exchange.UpdateAbortHandle();
+  exchange.SetProbes();
   const bool maySend = !aPreSendCheck || aPreSendCheck();
   if (exchange.Aborted() || !maySend) {
     co_return tl::unexpected<CallError>(
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -84,6 +84,10 @@
   std::chrono::milliseconds connect{ 500 };
   std::chrono::milliseconds head{ 5000 };
   std::chrono::milliseconds bodyIdle{ 5000 };
+  /** Whether the kernel probes a silent peer and ends the call when it does not
+   * acknowledge: the machine, the path or the connection is lost, and what the
+   * peer still says can't arrive. */
+  bool probesPeer = false;
 };
 
 /**
@@ -120,11 +124,6 @@
   HttpExchange& operator=(HttpExchange&&) noexcept = default;
   ~HttpExchange();
 
-  /** Sets the maximum time without progress from now on. */
-  void SetBodyIdleTimeout(std::chrono::milliseconds aTimeout)
-  {
-    this->timeouts.bodyIdle = aTimeout;
-  }
   /** Sets when the response must be complete, from now. However many bytes
    * arrive, ReadChunk fails with a timeout after that. */
   void SetTimeLeft(std::chrono::milliseconds aTime)
@@ -156,6 +155,8 @@
   HttpExchange() = default;
   /** Sets the abort handle's connection to the current one, or to none. */
   void UpdateAbortHandle();
+  /** Switches the probes of this call's connection on or off. */
+  void SetProbes();
   [[nodiscard]] bool Aborted() const
   {
     return this->abortHandle != nullptr && this->abortHandle->Aborted();
--- a/src/serve/BackendLoadGuard.h
+++ b/src/serve/BackendLoadGuard.h
@@ -1,37 +1,46 @@
 /** \file
- * Adds a request to its back end's load while it is in flight there.
+ * Adds a request to its back end's load while it is in flight there, and to the
+ * requests whose silence is watched.
  */
 #pragma once
 
 #include "coord/BackendTable.h"
+#include "coord/SilentSends.h"
 
 #include <algorithm>
 
 namespace toucanshed {
 
 /**
- * Thread safety: none; belongs to the worker. The table must outlive it.
+ * Thread safety: none; belongs to the worker. The table and the watched sends
+ * must outlive it.
  */
 class BackendLoadGuard
 {
 public:
+  /** \param aSilenceLimit until the response begins */
   BackendLoadGuard(BackendTable& aTable,
+                   SilentSends& aSends,
                    InstanceId aBackend,
+                   Millis aSilenceLimit,
                    std::int64_t aPromptTokens,
                    std::uint64_t aHeldTokens,
                    TimePoint aNow)
     : table(aTable)
+    , sends(aSends)
     , backend(std::move(aBackend))
+    , silence{ this->backend, aNow, aSilenceLimit }
     , load{ 1, aPromptTokens }
     , heldTokens(aHeldTokens)
   {
     if (Backend* found = this->table.Find(this->backend)) {
       found->lastSentAt = aNow;
-      const bool idle = found->localLoad.running == 0;
+      const bool idle = found->localLoad.running <= found->silentRequests;
       found->lastProgressAt = idle ? aNow : found->lastProgressAt;
       found->heldTokens += aHeldTokens;
     }
     this->AddLoad(1);
+    this->sends.Add(this->silence);
   }
   ~BackendLoadGuard() { this->Release(); }
   BackendLoadGuard(const BackendLoadGuard&) = delete;
@@ -45,6 +54,7 @@
       return;
     }
     this->released = true;
+    this->sends.Remove(this->silence);
     this->AddLoad(-1);
     if (Backend* found = this->table.Find(this->backend)) {
       found->heldTokens -= std::min(found->heldTokens, this->heldTokens);
@@ -60,12 +70,27 @@
     this->AddLoad(1);
   }
 
+  /** The back end has sent data.
+   * \param aSilenceLimit from now on */
+  void RecordData(TimePoint aNow, Millis aSilenceLimit)
+  {
+    this->silence.limit = aSilenceLimit;
+    this->sends.RecordSign(this->silence, aNow);
+    this->table.RecordProgress(this->backend, aNow);
+  }
+
   /** The caller is being written to, and the back end waits until it reads. */
-  void BeginWrite() { this->AddUnread(1); }
+  void BeginWrite()
+  {
+    this->silence.awaitsBackend = false;
+    this->AddUnread(1);
+  }
   /** The caller has read, or has left. */
   void EndWrite(TimePoint aNow)
   {
     this->AddUnread(-1);
+    this->silence.awaitsBackend = true;
+    this->silence.lastSignAt = aNow;
     this->table.RecordProgress(this->backend, aNow);
   }
 
@@ -86,7 +111,9 @@
   }
 
   BackendTable& table;
+  SilentSends& sends;
   InstanceId backend;
+  SendSilence silence;
   BackendLoad load;
   bool released = false;
   std::uint64_t heldTokens; // of the engine's memory, prompt and output
--- a/src/serve/BackendSend.cpp
+++ b/src/serve/BackendSend.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/** Timeout of opening a connection. In one region that takes a millisecond; a
- * lost first packet is sent again only after a second. */
-constexpr Millis kConnectTimeout{ 350 };
 /** A caller that was seen within this time is not looked for again. */
 constexpr Millis kCallerCheckInterval{ 20 };
 
@@ -182,11 +179,10 @@
   context.resumeAfter = this->splitter.LastId();
   HttpRequest message =
     this->state.wire.backends.write(this->request.incoming, context);
-  const CallTimeouts timeouts{ std::min(kConnectTimeout, this->TimeLeft()),
-                               this->AttemptTimeout(),
-                               this->AttemptTimeout() };
   BackendLoadGuard guard(this->state.backends,
+                         this->state.silentSends,
                          aPlacement.backend,
+                         this->ResponseSilence(),
                          static_cast<std::int64_t>(aPlacement.uncachedTokens),
                          this->HeldTokens(),
                          this->sentAt);
@@ -216,7 +212,7 @@
     co_await HttpExchange::Open(this->state.pool.First(),
                                 *endpoint,
                                 std::move(message),
-                                timeouts,
+                                this->SendTimeouts(),
                                 false,
                                 this->abort,
                                 std::move(confirm),
--- a/src/serve/PeerSend.cpp
+++ b/src/serve/PeerSend.cpp
@@ -18,10 +18,6 @@
 /** Back ends of which the daemons with a part of the limit are looked up. More
  * would cost too much where there are thousands. */
 constexpr std::size_t kSampledBackends = 8;
-constexpr Millis kConnectTimeout{ 350 };
-/** A daemon that has a request times it out itself; only if it hangs does this
- * one, after so many times the timeout of a send. */
-constexpr int kPeerTimeoutFactor = 2;
 
 /** Counts a request as in progress at another daemon. */
 class PeerSendGuard
@@ -152,15 +148,10 @@
   const HttpRequest& original = *this->request.incoming.message;
   HttpRequest message{ http::request_header<>(original.base()) };
   WriteRelayTerms(terms, message);
-  const Millis timeout =
-    std::min(this->TimeLeft(), kPeerTimeoutFactor * this->AttemptTimeout());
-  const CallTimeouts timeouts{ std::min(kConnectTimeout, this->TimeLeft()),
-                               timeout,
-                               timeout };
   auto exchange = co_await HttpExchange::Open(this->state.pool.First(),
                                               *endpoint,
                                               std::move(message),
-                                              timeouts,
+                                              this->SendTimeouts(),
                                               false,
                                               this->abort,
                                               nullptr,
--- a/src/serve/ReachMonitor.cpp
+++ b/src/serve/ReachMonitor.cpp
@@ -132,12 +132,37 @@
   }
 }
 
+Task<void>
+ReachMonitor::RecordSilence(InstanceId aBackend)
+{
+  const TimePoint now = ServingState::Now();
+  const FailureCause cause = co_await this->FindCause(aBackend);
+  const Backend* backend = this->state.backends.Find(aBackend);
+  const bool speaksAgain = backend == nullptr || backend->silentSince.ms == 0;
+  if (speaksAgain || cause == FailureCause::eOwnPaths) {
+    co_return;
+  }
+  this->state.metrics.Count("toucanshed_silent_backends_total");
+  this->state.log.Emit(Event("backend.silent")
+                         .With("backend", aBackend)
+                         .With("born", backend->entry.incarnation)
+                         .With("ms", (now - backend->silentSince).count())
+                         .With("requests", backend->silentRequests)
+                         .With("cause", NameOf(cause)));
+  this->state.backends.RecordFailure(aBackend, now);
+  this->state.queues.Notify();
+}
+
 Task<void>
 ReachMonitor::Watch()
 {
   while (true) {
     const EngineReach& reach = this->state.engineReach;
     co_await Sleep(reach.IsCut() ? kCutCheckInterval : kWatchInterval);
+    for (InstanceId& silent :
+         this->state.silentSends.Update(ServingState::Now())) {
+      this->state.pool.First().Spawn(this->RecordSilence(std::move(silent)));
+    }
     const bool isDue =
       reach.IsCut() ||
       reach.NeedsCheck(this->state.backends.All(), ServingState::Now());
--- a/src/serve/ReachMonitor.h
+++ b/src/serve/ReachMonitor.h
@@ -1,5 +1,6 @@
 /** \file
- * Checks with new connections whether this daemon reaches the engines.
+ * Checks with new connections whether this daemon reaches the engines, and
+ * watches for those that fall silent.
  */
 #pragma once
 
@@ -43,6 +44,9 @@
 private:
   Task<FailureCause> FindCause(InstanceId aFailed);
   Task<void> Watch();
+  /** Counts as failed a back end that is silent to all of its requests, unless
+   * the paths from here are to blame. */
+  Task<void> RecordSilence(InstanceId aBackend);
   /** Precondition: no check is in progress. */
   Task<void> Check(InstanceId aFailed);
   /** Connects to the check's engines from aFirst on, all at once. */
--- a/src/serve/RequestForwarder.cpp
+++ b/src/serve/RequestForwarder.cpp
@@ -19,12 +19,12 @@
 /** Interval of a request's tries while each back end's latest answer is that
  * its permits are used up. */
 constexpr Millis kPermitPollInterval{ 20 };
-/** A request that may run on another back end times out after this many times
- * its latency target: a back end that has taken so long more often hangs than
- * is slow. */
-constexpr double kAttemptTimeoutTargets = 2.5;
-/** A sound back end may be unresponsive for a second or so. */
-constexpr Millis kMinAttemptTimeout = BackendTable::kMaxUnresponsiveTime;
+/** Timeout of opening a connection. In one region that takes a millisecond; a
+ * lost first packet is sent again only after a second. */
+constexpr Millis kConnectTimeout{ 350 };
+/** Latency targets without a response after which a back end more often hangs
+ * than is slow. */
+constexpr double kSilentTargets = 2.5;
 
 } // namespace
 
@@ -64,16 +64,24 @@
 }
 
 Millis
-RequestForwarder::AttemptTimeout() const
+RequestForwarder::ResponseSilence() const
 {
-  const Millis left = this->TimeLeft();
-  if (!IsRetrySafe(this->request.route->kind)) {
-    return left;
-  }
   const auto targets = Millis(static_cast<std::int64_t>(
-    kAttemptTimeoutTargets *
+    kSilentTargets *
     static_cast<double>(this->request.route->latencyTarget.count())));
-  return std::min(left, std::max(targets, kMinAttemptTimeout));
+  return std::max(targets, BackendTable::kMaxUnresponsiveTime);
+}
+
+CallTimeouts
+RequestForwarder::SendTimeouts() const
+{
+  const Millis left = this->TimeLeft();
+  CallTimeouts timeouts{ std::min(kConnectTimeout, left), left, left };
+  timeouts.probesPeer =
+    IsRetrySafe(this->request.route->kind) &&
+    (this->request.relayed ||
+     this->possibleRuns + 1 < this->request.route->maxBackends);
+  return timeouts;
 }
 
 std::optional<RepeatRefusal>
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -185,6 +185,8 @@
   Task<SendOutcome> RelayBuffered(HttpExchange& aExchange,
                                   const Placement& aPlacement);
   Task<bool> RelayEvents(HttpExchange& aExchange, const Placement& aPlacement);
+  /** The current send's back end has sent data. */
+  void RecordData(TimePoint aNow);
   /** Appends a piece to a response's body, within what the process may hold.
    * \return whether there is room for it */
   Task<bool> AppendToBody(const HttpExchange& aExchange,
@@ -246,7 +248,11 @@
   /** Time since the current send's last sign of its back end. */
   [[nodiscard]] Millis SilentTime(TimePoint aNow) const;
   [[nodiscard]] Millis TimeLeft() const;
-  [[nodiscard]] Millis AttemptTimeout() const;
+  /** Time without a response after which its back end counts as silent. */
+  [[nodiscard]] Millis ResponseSilence() const;
+  /** Timeouts of a send. Only a peer that is not there ends one before the
+   * request's time is over: a silent one may still answer. */
+  [[nodiscard]] CallTimeouts SendTimeouts() const;
   Placer& ServicePlacer();
 
   ServingState& state;
--- a/src/serve/RequestLog.cpp
+++ b/src/serve/RequestLog.cpp
@@ -39,20 +39,6 @@
   return text.str();
 }
 
-const char*
-NameOf(FailureCause aCause)
-{
-  switch (aCause) {
-    case FailureCause::eEngine:
-      return "engine";
-    case FailureCause::eFailureDomain:
-      return "failure_domain";
-    case FailureCause::eOwnPaths:
-      return "own_paths";
-  }
-  return "";
-}
-
 } // namespace
 
 Millis
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -13,9 +13,9 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kServerError = 500;
-/** Pause within a stream after which it is resumed on another back end. Engines
+/** Pause within a response after which its back end counts as silent. Engines
  * pause streams themselves when their memory is full, for some hundred ms. */
-constexpr Millis kStreamGapTimeout{ 1600 };
+constexpr Millis kResponsePause{ 1600 };
 /** Interval of the tries to hold a response for which there is no room. */
 constexpr Millis kRoomPollInterval{ 5 };
 
@@ -208,7 +208,6 @@
                               const Placement& aPlacement)
 {
   this->splitter.DiscardPartialEvent();
-  aExchange.SetBodyIdleTimeout(this->AttemptTimeout());
   aExchange.SetTimeLeft(this->TimeLeft());
   this->responder.Place().SetHoldsBackend(true);
   ResponseBuffer buffer(this->state.pool.First().responseBuffers,
@@ -256,6 +255,15 @@
   co_return SendOutcome::eResponded;
 }
 
+void
+RequestForwarder::RecordData(TimePoint aNow)
+{
+  this->progressAt = aNow;
+  if (this->loadGuard != nullptr) { // null when it comes through a daemon
+    this->loadGuard->RecordData(aNow, kResponsePause);
+  }
+}
+
 Task<bool>
 RequestForwarder::RelayEvents(HttpExchange& aExchange,
                               const Placement& aPlacement)
@@ -269,12 +277,11 @@
   }
   this->RecordResponseStart(aPlacement);
   const TimePoint now = ServingState::Now();
-  this->state.backends.RecordProgress(aPlacement.backend, now);
   if (this->lastEventAt.ms != 0) {
     this->longestGap = std::max(this->longestGap, now - this->lastEventAt);
   }
   this->lastEventAt = now;
-  this->progressAt = now;
+  this->RecordData(now);
   if (this->observed) {
     this->state.evidence.RecordEvents(
       *this->observed, this->splitter.ReturnedCount() - this->eventsAtStart);
@@ -282,9 +289,6 @@
   if (this->IsWritten()) {
     this->RecordWritten();
   }
-  aExchange.SetBodyIdleTimeout(IsRetrySafe(this->request.route->kind)
-                                 ? std::min(kStreamGapTimeout, this->TimeLeft())
-                                 : this->TimeLeft());
   if (!this->responder.Started()) {
     HttpResponse head = this->state.wire.backends.forwardHead(
       aExchange.Status(), aExchange.Headers());
@@ -372,6 +376,7 @@
     if (!piece->has_value()) {
       break;
     }
+    this->RecordData(ServingState::Now());
     const bool held =
       co_await this->AppendToBody(aExchange, buffer, **piece, response.body());
     if (!held) {
@@ -384,7 +389,7 @@
   if (crashed) {
     co_return SendOutcome::eMayHaveRun;
   }
-  this->state.backends.RecordProgress(aPlacement.backend, ServingState::Now());
+  this->RecordData(ServingState::Now());
   const bool failed = status >= kServerError;
   this->responseFailed = failed;
   if (failed) {
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -32,6 +32,7 @@
 #include "coord/RetryCredit.h"
 #include "coord/Rollouts.h"
 #include "coord/SendGate.h"
+#include "coord/SilentSends.h"
 #include "coord/StoreOutage.h"
 #include "coord/TeamQuotas.h"
 #include "coord/TopicFreshness.h"
@@ -138,6 +139,7 @@
   /** Called when another catalog is in force. */
   std::function<void()> onCatalog = [] {};
   BackendTable backends;
+  SilentSends silentSends{ this->backends };
   bool backendsRead = false;
   ListRevisions listRevisions;
   EntryRenewals entryRenewals;
