--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -116,6 +116,7 @@
   this->readiness = endpoints[1];
   this->relays = endpoints[2];
   this->metrics = endpoints[3];
+  this->engine = endpoints[6];
   this->StartServer(
     endpoints[4],
     [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -80,6 +80,7 @@
   Endpoint readiness;
   Endpoint relays;
   Endpoint metrics;
+  Endpoint engine;
   std::unique_ptr<DaemonProcess> daemon;
 
 private:
--- a/test/clients/SilentEngineTest.cpp
+++ b/test/clients/SilentEngineTest.cpp
@@ -4,7 +4,9 @@
 #include "test/ServedPlatform.h"
 
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <memory>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -82,6 +84,47 @@
   return whole;
 }
 
+/** Connections to the server on which the kernel's keep-alive timer runs. */
+std::size_t
+CountProbed(const Endpoint& aServer)
+{
+  constexpr int kHex = 16;
+  const std::string kKeepAliveTimer = "02";
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line); // the names of the columns
+  std::size_t count = 0;
+  while (std::getline(table, line)) {
+    std::istringstream columns(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    std::string timer;
+    columns >> number >> local >> remote >> state >> queues >> timer;
+    const int port =
+      std::stoi(remote.substr(remote.find(':') + 1), nullptr, kHex);
+    count +=
+      port == aServer.port() && timer.starts_with(kKeepAliveTimer) ? 1 : 0;
+  }
+  return count;
+}
+
+/** The same while a request waits for an engine that is silent. */
+std::size_t
+CountProbedBy(const std::string& aPath)
+{
+  const ServedPlatform platform(PausingEngines(1));
+  const std::size_t before = platform.EngineRequests();
+  CallerConnection caller(platform.callers);
+  caller.Send(RequestTo(aPath));
+  while (platform.EngineRequests() == before) {
+    std::this_thread::sleep_for(kCallerInterval);
+  }
+  return CountProbed(platform.engine);
+}
+
 } // namespace
 
 // Guards against cutting a stream whose engine pauses, because another one may
@@ -112,4 +155,18 @@
   CHECK(CountWhole(platform, "/keep/within-2500", true, true) == kCallers);
 }
 
+// Guards against waiting until the deadline for a machine that is gone, though
+// the request may be sent to another one.
+TEST_CASE("a call that may be repeated probes its connection")
+{
+  CHECK(CountProbedBy("/look/before-2500") == 1);
+  CHECK(CountProbedBy("/keep/before-2500") == 1);
+}
+
+// Guards against ending a call that may not be repeated while its path is cut.
+TEST_CASE("a call that may not be repeated does not probe its connection")
+{
+  CHECK(CountProbedBy("/book/before-2500") == 0);
+}
+
 } // namespace toucanshed::test
