Keep calls to servers that are too busy to read

What callers see: a request with a long body ends with 502 after 3 s, while its engine is busy and would read and answer it.

Cause: TCP_USER_TIMEOUT, set against machines that are gone, also ends a connection whose peer acknowledges all it has room for but reads nothing for 3 s.

Change: only requests that fit into the smallest receive buffer have the limit. The others are bounded by their own time. Probes end by count, so they work without it.

Way not taken: reading TCP_INFO in the process, which could tell a full buffer from a path that is cut while a long request is sent; it needs a timer a call.

--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -50,32 +50,39 @@
 /** Limits how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT). A
  * peer that lost power, or a path that lost the connection's state, sends
  * nothing, not even a reset. Without the limit the kernel retransmits for many
- * minutes. */
+ * minutes. It would also end the call of a peer that is too busy to read, whose
+ * receive buffer is full, so requests that may fill it have no limit. */
 void
-SetTcpUserTimeout(boost::asio::ip::tcp::socket& aSocket)
+SetTcpUserTimeout(boost::asio::ip::tcp::socket& aSocket,
+                  std::size_t aRequestBytes)
 {
   constexpr int kUserTimeoutMs = 3000; // as long as callers wait for a response
+  constexpr int kNoLimit = 0;
+  constexpr std::size_t kSmallestReceiveBuffer = std::size_t{ 16 } << 10U;
   using UserTimeout =
     net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  const bool fits = aRequestBytes <= kSmallestReceiveBuffer;
   boost::system::error_code ignored;
-  aSocket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+  aSocket.set_option(UserTimeout(fits ? kUserTimeoutMs : kNoLimit), ignored);
 }
 
-/** Makes the kernel probe a connection on which nothing arrives. The first
- * probe is sent after a second; one that has gone without an acknowledgement
- * for the TCP_USER_TIMEOUT is closed. */
+/** Makes the kernel probe a connection on which nothing arrives, and close it
+ * when it gets no acknowledgement for some seconds. */
 void
 SetKeepAliveProbes(boost::asio::ip::tcp::socket& aSocket, bool aProbes)
 {
   constexpr int kIdleSeconds = 1;
   constexpr int kIntervalSeconds = 1;
+  constexpr int kUnansweredProbes = 3;
   using Idle = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
   using Interval =
     net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
   boost::system::error_code ignored;
   aSocket.set_option(net::socket_base::keep_alive(aProbes), ignored);
   aSocket.set_option(Idle(kIdleSeconds), ignored);
   aSocket.set_option(Interval(kIntervalSeconds), ignored);
+  aSocket.set_option(Count(kUnansweredProbes), ignored);
 }
 
 /** Makes the kernel drop what is unsent when the connection is closed. A
@@ -132,10 +139,11 @@
 }
 
 void
-HttpExchange::SetProbes()
+HttpExchange::SetLivenessChecks(std::size_t aRequestBytes)
 {
-  SetKeepAliveProbes(this->connection->stream.socket(),
-                     this->timeouts.probesPeer);
+  auto& socket = this->connection->stream.socket();
+  SetTcpUserTimeout(socket, aRequestBytes);
+  SetKeepAliveProbes(socket, this->timeouts.probesPeer);
 }
 
 void
@@ -171,7 +179,6 @@
   }
   boost::system::error_code ignored;
   stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
-  SetTcpUserTimeout(stream.socket());
   SetResetOnClose(stream.socket());
   co_return std::nullopt;
 }
@@ -266,7 +273,6 @@
     }
   }
   exchange.UpdateAbortHandle();
-  exchange.SetProbes();
   const bool maySend = !aPreSendCheck || aPreSendCheck();
   if (exchange.Aborted() || !maySend) {
     co_return tl::unexpected<CallError>(
@@ -280,6 +286,7 @@
   if (aRequest.chunked()) {
     aRequest.content_length(body.size()); // it is sent whole
   }
+  exchange.SetLivenessChecks(body.size());
   const auto sendError = co_await exchange.SendAndReadHead(aRequest, body);
   if (sendError) {
     co_return tl::unexpected<CallError>(*sendError);
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -155,8 +155,8 @@
   HttpExchange() = default;
   /** Sets the abort handle's connection to the current one, or to none. */
   void UpdateAbortHandle();
-  /** Switches the probes of this call's connection on or off. */
-  void SetProbes();
+  /** Sets how the kernel finds out that this call's peer is gone. */
+  void SetLivenessChecks(std::size_t aRequestBytes);
   [[nodiscard]] bool Aborted() const
   {
     return this->abortHandle != nullptr && this->abortHandle->Aborted();
