Count a silence once, and only against the engine it belongs to

What callers saw, by reading and in the new tests: an engine that was silent to nine requests at once had nine failures and so a pause of 3.2 s; one that was started again had a failure, and no further request, for what its predecessor had not answered; a caller that read late ended the silence of its engine, which then got another 900 ms of requests; and a response for which there was no room here counted as the engine's silence.

Change: requests sent before a silence was found belong to it; those of an earlier start are set aside; only data ends a silence; time in which nothing is read here does not count.

The wait for room has no test of its own.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -176,6 +176,7 @@
 {
   if (Backend* backend = this->Find(aId)) {
     backend->lastProgressAt = aNow;
+    backend->lastDataAt = aNow;
     backend->unresponsiveSince = TimePoint{};
     backend->silentSince = TimePoint{};
   }
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -99,7 +99,7 @@
   TimePoint slotsBoundUntil;
   bool inLongPool = false; // see PromptPools
   /** Time of the last data from it or, if later, of a send to it while it was
-   * idle. */
+   * idle, or of a caller reading that had not. */
   TimePoint lastProgressAt;
   /** Of this daemon's requests there, those whose callers do not read what it
    * has sent. */
@@ -107,7 +107,9 @@
   /** Of this daemon's requests there, those that have been without a sign of it
    * for long; see SilentSends. */
   std::int64_t silentRequests = 0;
-  TimePoint silentSince; // to all of them; 0: it is not
+  TimePoint silentSince;    // to all of them; 0: it is not
+  TimePoint silenceFoundAt; // requests sent before belong to that silence
+  TimePoint lastDataAt;     // 0: none yet
 
   /** Its entry is missing and the grace period has expired. */
   [[nodiscard]] bool GraceExpired(TimePoint aNow) const
--- a/src/coord/SilentSends.cpp
+++ b/src/coord/SilentSends.cpp
@@ -33,27 +33,48 @@
   }
 }
 
+bool
+SilentSends::RecordSilence(const SendSilence& aSend,
+                           Backend& aBackend,
+                           TimePoint aNow)
+{
+  const bool othersHeard = aBackend.lastDataAt > aSend.lastSignAt;
+  if (othersHeard) {
+    return false;
+  }
+  if (aBackend.silentSince.ms == 0) {
+    aBackend.silentSince = aSend.lastSignAt;
+  } else if (aSend.lastSignAt < aBackend.silenceFoundAt) {
+    aBackend.silentSince = std::min(aBackend.silentSince, aSend.lastSignAt);
+    return false;
+  }
+  aBackend.silenceFoundAt = aNow;
+  return true;
+}
+
 std::vector<InstanceId>
 SilentSends::Update(TimePoint aNow)
 {
-  std::set<InstanceId> fallenSilent;
+  std::set<InstanceId> failed;
   for (SendSilence* send : this->sends) {
-    const bool becomesSilent = !send->silent && send->awaitsBackend &&
-                               aNow - send->lastSignAt >= send->limit;
-    if (!becomesSilent) {
+    if (send->silent || !send->awaitsBackend) {
+      continue;
+    }
+    Backend* backend = this->table.Find(send->backend);
+    const bool restarted =
+      backend != nullptr && backend->entry.incarnation != send->incarnation;
+    if (!restarted && aNow - send->lastSignAt < send->limit) {
       continue;
     }
     send->silent = true;
     this->Count(*send, 1);
-    Backend* backend = this->table.Find(send->backend);
-    const bool noneSpeaks =
-      backend != nullptr && backend->lastProgressAt <= send->lastSignAt;
-    if (noneSpeaks) {
-      backend->silentSince = send->lastSignAt;
-      fallenSilent.insert(send->backend);
+    const bool isFailure =
+      backend != nullptr && !restarted && RecordSilence(*send, *backend, aNow);
+    if (isFailure) {
+      failed.insert(send->backend);
     }
   }
-  return { fallenSilent.begin(), fallenSilent.end() };
+  return { failed.begin(), failed.end() };
 }
 
 } // namespace toucanshed
--- a/src/coord/SilentSends.h
+++ b/src/coord/SilentSends.h
@@ -12,11 +12,13 @@
 namespace toucanshed {
 
 class BackendTable;
+struct Backend;
 
 /** A request in flight at a back end, by the signs of it. */
 struct SendSilence
 {
   InstanceId backend;
+  std::int64_t incarnation = 0;
   TimePoint lastSignAt;      // data, or the send itself
   Millis limit{ 0 };         // longer without a sign: silent
   bool awaitsBackend = true; // false while its caller doesn't read
@@ -47,14 +49,21 @@
   void Remove(SendSilence& aSend);
   /** The back end has sent data to this request. */
   void RecordSign(SendSilence& aSend, TimePoint aNow);
-  /** Marks the requests that have become silent.
-   * \return the back ends that have fallen silent as a whole, each once */
+  /** Marks the requests that have become silent. Those that an earlier start of
+   * a back end had say nothing about it.
+   * \return the back ends that have fallen silent as a whole, and those that
+   * are still silent to a request sent since that was found; each once */
   std::vector<InstanceId> Update(TimePoint aNow);
 
 private:
   /** \param aChange 1 when a request has become silent, -1 when it no longer
    *   is */
   void Count(const SendSilence& aSend, std::int64_t aChange);
+  /** Records that a request has become silent.
+   * \return whether that is a failure of its back end */
+  static bool RecordSilence(const SendSilence& aSend,
+                            Backend& aBackend,
+                            TimePoint aNow);
 
   BackendTable& table;
   std::set<SendSilence*> sends;
--- a/src/serve/BackendLoadGuard.h
+++ b/src/serve/BackendLoadGuard.h
@@ -29,11 +29,12 @@
     : table(aTable)
     , sends(aSends)
     , backend(std::move(aBackend))
-    , silence{ this->backend, aNow, aSilenceLimit }
+    , silence{ this->backend, 0, aNow, aSilenceLimit }
     , load{ 1, aPromptTokens }
     , heldTokens(aHeldTokens)
   {
     if (Backend* found = this->table.Find(this->backend)) {
+      this->silence.incarnation = found->entry.incarnation;
       found->lastSentAt = aNow;
       const bool idle = found->localLoad.running <= found->silentRequests;
       found->lastProgressAt = idle ? aNow : found->lastProgressAt;
@@ -79,19 +80,21 @@
     this->table.RecordProgress(this->backend, aNow);
   }
 
-  /** The caller is being written to, and the back end waits until it reads. */
-  void BeginWrite()
+  /** Nothing is read from the back end, which may have to wait: the caller is
+   * being written to, or there is no room for more. */
+  void StopReading()
   {
     this->silence.awaitsBackend = false;
     this->AddUnread(1);
   }
-  /** The caller has read, or has left. */
-  void EndWrite(TimePoint aNow)
+  void ResumeReading(TimePoint aNow)
   {
     this->AddUnread(-1);
     this->silence.awaitsBackend = true;
     this->silence.lastSignAt = aNow;
-    this->table.RecordProgress(this->backend, aNow);
+    if (Backend* found = this->table.Find(this->backend)) {
+      found->lastProgressAt = aNow;
+    }
   }
 
 private:
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -187,6 +187,9 @@
   Task<bool> RelayEvents(HttpExchange& aExchange, const Placement& aPlacement);
   /** The current send's back end has sent data. */
   void RecordData(TimePoint aNow);
+  /** Waits until the process may hold so much of a response.
+   * \return false if the caller leaves, or its time ends, before that */
+  Task<bool> AwaitRoom(ResponseBuffer& aBuffer, std::size_t aCapacity);
   /** Appends a piece to a response's body, within what the process may hold.
    * \return whether there is room for it */
   Task<bool> AppendToBody(const HttpExchange& aExchange,
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -301,11 +301,11 @@
   // Null when the stream comes through another daemon.
   BackendLoadGuard* const guard = this->loadGuard;
   if (guard != nullptr) {
-    guard->BeginWrite();
+    guard->StopReading();
   }
   const bool written = co_await this->responder.Write(std::move(events));
   if (guard != nullptr) {
-    guard->EndWrite(ServingState::Now());
+    guard->ResumeReading(ServingState::Now());
   }
   co_return written;
 }
@@ -320,6 +320,24 @@
   }
 }
 
+Task<bool>
+RequestForwarder::AwaitRoom(ResponseBuffer& aBuffer, std::size_t aCapacity)
+{
+  BackendLoadGuard* const guard = this->loadGuard;
+  if (guard != nullptr) { // the back end waits too
+    guard->StopReading();
+  }
+  bool held = false;
+  while (!held && this->IsCallerWaiting()) {
+    co_await Sleep(kRoomPollInterval);
+    held = co_await aBuffer.Grow(aCapacity);
+  }
+  if (guard != nullptr) {
+    guard->ResumeReading(ServingState::Now());
+  }
+  co_return held;
+}
+
 Task<bool>
 RequestForwarder::AppendToBody(const HttpExchange& aExchange,
                                ResponseBuffer& aBuffer,
@@ -337,9 +355,8 @@
     bool held = co_await aBuffer.Grow(capacity);
     const bool mayWait = aBody.empty() && length >= needed &&
                          length <= ResponseBuffer::kMaxCallBytes;
-    while (!held && mayWait && this->IsCallerWaiting()) {
-      co_await Sleep(kRoomPollInterval);
-      held = co_await aBuffer.Grow(capacity);
+    if (!held && mayWait) {
+      held = co_await this->AwaitRoom(aBuffer, capacity);
     }
     if (!held) {
       co_return false;
--- a/test/correctness/SilentSendsTest.cpp
+++ b/test/correctness/SilentSendsTest.cpp
@@ -126,13 +126,59 @@
   SilentEngine engine;
   BackendLoadGuard& unread = engine.Send(kNow);
   unread.RecordData(kNow, kLimit);
-  unread.BeginWrite();
+  unread.StopReading();
   CHECK(engine.sends.Update(kNow + 10 * kLimit).empty());
-  unread.EndWrite(kNow + 10 * kLimit);
+  unread.ResumeReading(kNow + 10 * kLimit);
   CHECK(engine.sends.Update(kNow + 11 * kLimit - Millis(1)).empty());
   CHECK(engine.sends.Update(kNow + 11 * kLimit) == std::vector{ kEngine });
 }
 
+// Guards against the requests of one silence counting as a failure each, which
+// pauses an engine for seconds.
+TEST_CASE("one silence of an engine is one failure")
+{
+  constexpr Millis kTick{ 100 };
+  constexpr int kSends = 9;
+  SilentEngine engine;
+  std::size_t failures = 0;
+  for (Millis at{ 0 }; at < 2 * kLimit - kTick; at += kTick) {
+    const TimePoint now = kNow + at;
+    if (at / kTick < kSends) {
+      engine.Send(now);
+    }
+    failures += engine.sends.Update(now).size();
+  }
+  CHECK(failures == 1);
+  CHECK(engine.State().silentRequests == kSends);
+  CHECK(engine.State().silentSince == kNow);
+}
+
+// Guards against a failure of an engine that was started again, for a request
+// that the one before it had.
+TEST_CASE("silence of an earlier start of an engine is not its failure")
+{
+  SilentEngine engine;
+  engine.Send(kNow);
+  engine.Start(2);
+  CHECK(engine.sends.Update(kNow + Millis(100)).empty());
+  CHECK(engine.MaySend(kNow + Millis(100)));
+  CHECK(engine.sends.Update(kNow + kLimit).empty());
+}
+
+// Guards against a caller that reads late giving a silent engine further
+// requests.
+TEST_CASE("a late reader does not end the silence of its engine")
+{
+  SilentEngine engine;
+  BackendLoadGuard& unread = engine.Send(kNow);
+  unread.RecordData(kNow, kLimit);
+  unread.StopReading();
+  engine.Send(kNow + Millis(1));
+  CHECK(engine.sends.Update(kNow + Millis(1) + kLimit).size() == 1);
+  unread.ResumeReading(kNow + 2 * kLimit);
+  CHECK(engine.State().silentSince.ms != 0);
+}
+
 // Guards against an engine that was started again being left alone for the
 // requests that the one before it had.
 TEST_CASE("an engine started again gets requests beside silent ones")
