Keep an engine's load when it is listed again while requests run there

What callers would see: an engine whose entry went and came back, while requests sent before ran on, had a negative number of requests as those ended. It then looked idle for good, and was sent more than it has slots for.

Cause: requests count in the entry of their engine's id, not in the one that they were sent by.

Change: a request counts only in the listing in which it was sent.

Evidence: the new test had -1 running requests in place of 1 before, 3 of its 4 checks failed; it passes now, in one run.

--- a/src/coord/BackendTable.cpp
+++ b/src/coord/BackendTable.cpp
@@ -12,6 +12,9 @@
 BackendTable::Put(const BackendEntry& aEntry)
 {
   Backend& backend = this->backends[aEntry.id];
+  if (backend.listing == 0) {
+    backend.listing = ++this->listings;
+  }
   const bool restarted = !backend.entry.id.Empty() &&
                          (backend.entry.incarnation != aEntry.incarnation ||
                           backend.entry.address != aEntry.address);
@@ -21,7 +24,9 @@
     const std::uint64_t held = backend.heldTokens;
     const std::int64_t unread = backend.unreadResponses;
     const std::int64_t silent = backend.silentRequests;
+    const std::uint64_t listing = backend.listing;
     backend = Backend{};
+    backend.listing = listing;
     backend.localLoad = own;
     backend.unreadResponses = unread;
     backend.silentRequests = silent;
@@ -276,6 +281,13 @@
   return found == this->backends.end() ? nullptr : &found->second;
 }
 
+Backend*
+BackendTable::FindListing(const InstanceId& aId, std::uint64_t aListing)
+{
+  Backend* found = this->Find(aId);
+  return found != nullptr && found->listing == aListing ? found : nullptr;
+}
+
 std::vector<Backend*>
 BackendTable::ForService(const ServiceId& aService)
 {
--- a/src/coord/BackendTable.h
+++ b/src/coord/BackendTable.h
@@ -73,9 +73,12 @@
 {
   BackendEntry entry;
   std::uint64_t idHash = 0; // of entry.id
-  BackendLoad localLoad;    // sent by this daemon
-  BackendLoad remoteLoad;   // sent by the other daemons, as last reported
-  UsualLoad usualRemote;    // average of remoteLoad
+  /** Counts the times that any back end was added. Requests that were sent
+   * before a removal don't count in the one that is added later. */
+  std::uint64_t listing = 0;
+  BackendLoad localLoad;  // sent by this daemon
+  BackendLoad remoteLoad; // sent by the other daemons, as last reported
+  UsualLoad usualRemote;  // average of remoteLoad
   /** Memory that this daemon's requests take there, with their expected output.
    */
   std::uint64_t heldTokens = 0;
@@ -224,6 +227,10 @@
   void ForgetFailures();
 
   [[nodiscard]] Backend* Find(const InstanceId& aId);
+  /** Null also when the back end was removed and added again since.
+   * \param aListing Backend::listing of the back end that is meant */
+  [[nodiscard]] Backend* FindListing(const InstanceId& aId,
+                                     std::uint64_t aListing);
   /** Back ends of a service, including leaving ones. */
   [[nodiscard]] std::vector<Backend*> ForService(const ServiceId& aService);
   [[nodiscard]] const std::map<InstanceId, Backend>& All() const
@@ -248,6 +255,7 @@
   static constexpr double kFailureRateWeight = 0.1;
 
   std::map<InstanceId, Backend> backends;
+  std::uint64_t listings = 0;
   EngineNotices notices;
   TimePoint remoteLoadsAt; // of the latest SetRemoteLoads
 };
--- a/src/coord/SilentSends.cpp
+++ b/src/coord/SilentSends.cpp
@@ -10,7 +10,8 @@
 void
 SilentSends::Count(const SendSilence& aSend, std::int64_t aChange)
 {
-  if (Backend* backend = this->table.Find(aSend.backend)) {
+  if (Backend* backend =
+        this->table.FindListing(aSend.backend, aSend.listing)) {
     backend->silentRequests =
       std::max<std::int64_t>(0, backend->silentRequests + aChange);
   }
@@ -60,7 +61,7 @@
     if (send->silent || !send->awaitsBackend) {
       continue;
     }
-    Backend* backend = this->table.Find(send->backend);
+    Backend* backend = this->table.FindListing(send->backend, send->listing);
     const bool restarted =
       backend != nullptr && backend->entry.incarnation != send->incarnation;
     if (!restarted && aNow - send->lastSignAt < send->limit) {
--- a/src/coord/SilentSends.h
+++ b/src/coord/SilentSends.h
@@ -18,6 +18,7 @@
 struct SendSilence
 {
   InstanceId backend;
+  std::uint64_t listing = 0; // see Backend
   std::int64_t incarnation = 0;
   TimePoint lastSignAt;      // data, or the send itself
   Millis limit{ 0 };         // longer without a sign: silent
--- a/src/serve/BackendLoadGuard.h
+++ b/src/serve/BackendLoadGuard.h
@@ -29,11 +29,12 @@
     : table(aTable)
     , sends(aSends)
     , backend(std::move(aBackend))
-    , silence{ this->backend, 0, aNow, aSilenceLimit }
+    , silence{ this->backend, 0, 0, aNow, aSilenceLimit }
     , load{ 1, aPromptTokens }
     , heldTokens(aHeldTokens)
   {
     if (Backend* found = this->table.Find(this->backend)) {
+      this->silence.listing = found->listing;
       this->silence.incarnation = found->entry.incarnation;
       found->lastSentAt = aNow;
       const bool idle = found->localLoad.running <= found->silentRequests;
@@ -57,7 +58,7 @@
     this->released = true;
     this->sends.Remove(this->silence);
     this->AddLoad(-1);
-    if (Backend* found = this->table.Find(this->backend)) {
+    if (Backend* found = this->Listed()) {
       found->heldTokens -= std::min(found->heldTokens, this->heldTokens);
     }
   }
@@ -92,22 +93,27 @@
     this->AddUnread(-1);
     this->silence.awaitsBackend = true;
     this->silence.lastSignAt = aNow;
-    if (Backend* found = this->table.Find(this->backend)) {
+    if (Backend* found = this->Listed()) {
       found->lastProgressAt = aNow;
     }
   }
 
 private:
+  /** The back end as it was when this was made; null once it is removed. */
+  [[nodiscard]] Backend* Listed()
+  {
+    return this->table.FindListing(this->backend, this->silence.listing);
+  }
   void AddUnread(std::int64_t aCount)
   {
-    if (Backend* found = this->table.Find(this->backend)) {
+    if (Backend* found = this->Listed()) {
       found->unreadResponses =
         std::max<std::int64_t>(0, found->unreadResponses + aCount);
     }
   }
   void AddLoad(std::int64_t aSign)
   {
-    if (Backend* found = this->table.Find(this->backend)) {
+    if (Backend* found = this->Listed()) {
       found->localLoad.running += aSign * this->load.running;
       found->localLoad.promptTokens += aSign * this->load.promptTokens;
     }
--- a/test/correctness/SilentSendsTest.cpp
+++ b/test/correctness/SilentSendsTest.cpp
@@ -165,6 +165,27 @@
   CHECK(engine.sends.Update(kNow + kLimit).empty());
 }
 
+// Guards against an engine that is listed again having fewer requests than none
+// as those sent before end, and then more than it can run.
+TEST_CASE("an engine that is listed again has only its later requests")
+{
+  SilentEngine engine;
+  engine.Send(kNow);
+  engine.Send(kNow);
+  engine.sends.Update(kNow + kLimit);
+  engine.table.Remove(kEngine, std::nullopt);
+  engine.Start(1);
+  BackendLoadGuard& later = engine.Send(kNow + kLimit);
+  engine.guards[0]->Release();
+  engine.guards[1]->StopReading();
+  engine.guards[1]->Release();
+  CHECK(engine.State().localLoad.running == 1);
+  CHECK(engine.State().unreadResponses == 0);
+  CHECK(engine.State().silentRequests == 0);
+  later.Release();
+  CHECK(engine.State().localLoad == BackendLoad{});
+}
+
 // Guards against a caller that reads late giving a silent engine further
 // requests.
 TEST_CASE("a late reader does not end the silence of its engine")
