Give up no whole response because its engine is busy

What callers saw: a 200 without its end, though the engine had sent all of it, and the request's sections counted as crashing engines.

Cause: a response with neither length nor chunks ends with its connection, so its end is checked with a new connection. Any failure of that one counted as a crash, also that no connection was accepted within 300 ms, as a busy engine does whose queue of connections is full. The incident's class: what is there is given up for a belief.

Change: such a response is cut only if the port refuses the connection, as that of a process that has crashed does. A response that broke off is checked as before.

Evidence: the new test failed before (cut, two suspects recorded), and passes now beside the other tests of unframed responses and crashes, 16 of 16, in one run.

--- a/src/serve/CrashProbe.cpp
+++ b/src/serve/CrashProbe.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 #include "edge/Worker.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -41,7 +42,10 @@
   probe.expires_after(kConnectTimeout);
   co_await probe.async_connect(*endpoint,
                                net::redirect_error(net::use_awaitable, error));
-  if (!error) {
+  // A response that has ended and may be whole is not given up for less than a
+  // port that is closed: a busy engine may accept no connection in time.
+  const bool isRefused = error == net::error::connection_refused;
+  if (!error || (!aCheck.broken && !isRefused)) {
     co_return false;
   }
   const FailureCause cause = co_await aState.findFailureCause(aCheck.backend);
--- a/src/serve/CrashProbe.h
+++ b/src/serve/CrashProbe.h
@@ -30,10 +30,11 @@
   std::vector<SuspectId> suspects;
 };
 
-/** Checks whether the back end still accepts connections. If it does not,
- * records that its incarnation crashed, and reports that to the other daemons.
- * A broken response alone does not count, since it may have been lost on the
- * network. \return whether it has crashed */
+/** Checks whether the back end still accepts connections. If it does not, or
+ * refuses them where the response may be complete, records that its incarnation
+ * crashed, and reports that to the other daemons. A broken response alone does
+ * not count, since it may have been lost on the network. \return whether it has
+ * crashed */
 Task<bool>
 RecordIfCrashed(ServingState& aState, CrashCheck aCheck);
 
--- a/standin/platform/RawEngine.cpp
+++ b/standin/platform/RawEngine.cpp
@@ -27,10 +27,24 @@
   this->acceptor.close(ignored);
 }
 
+void
+RawEngine::FillQueue()
+{
+  constexpr int kFillers = 8;
+  this->accepts = false;
+  this->acceptor.cancel();
+  this->acceptor.listen(0);
+  for (int i = 0; i < kFillers; ++i) {
+    this->fillers.emplace_back(this->worker.context, tcp::v4());
+    this->fillers.back().async_connect(this->acceptor.local_endpoint(),
+                                       [](const boost::system::error_code&) {});
+  }
+}
+
 Task<void>
 RawEngine::Accept()
 {
-  while (this->acceptor.is_open()) {
+  while (this->acceptor.is_open() && this->accepts) {
     boost::system::error_code error;
     tcp::socket socket = co_await this->acceptor.async_accept(
       net::redirect_error(net::use_awaitable, error));
@@ -91,6 +105,10 @@
   if (this->stopsAfterResponse) {
     this->Stop();
   }
+  if (this->fillsQueueAfterResponse) {
+    this->FillQueue();
+    co_await Sleep(std::chrono::milliseconds(20)); // until they are connected
+  }
   co_await net::async_write(aSocket,
                             net::buffer(bytes),
                             net::redirect_error(net::use_awaitable, error));
--- a/standin/platform/RawEngine.h
+++ b/standin/platform/RawEngine.h
@@ -46,11 +46,14 @@
   ConnectionEnd end = ConnectionEnd::eClose;
   bool readsBody = true; // otherwise it responds after the request's head
   bool stopsAfterResponse = false;
+  bool fillsQueueAfterResponse = false; // it accepts no connection any more
   std::size_t requests = 0;
   std::vector<std::string> attempts; // of the requests
 
 private:
   Task<void> Accept();
+  /** Opens so many connections that further ones hang. */
+  void FillQueue();
   Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
   /** Repeats until the peer closes the connection, at most kMaxRepeatedBytes.
    */
@@ -58,6 +61,8 @@
 
   Worker& worker;
   boost::asio::ip::tcp::acceptor acceptor;
+  bool accepts = true;
+  std::vector<boost::asio::ip::tcp::socket> fillers;
 };
 
 } // namespace toucanshed::standin
--- a/test/failure/UnframedResponseTest.cpp
+++ b/test/failure/UnframedResponseTest.cpp
@@ -73,6 +73,21 @@
   CHECK(KnownCrashes(harness) == 0);
 }
 
+// Guards against an engine that is too busy to accept connections being taken
+// for one that has crashed, and its whole response for a part.
+TEST_CASE("a response without length of a busy engine is complete")
+{
+  PlatformHarness harness(31000);
+  auto& engine = harness.AddRawEngine("raw", "model");
+  engine.response = kStreamHead + Events(0, 4);
+  engine.fillsQueueAfterResponse = true;
+  const CallerResponse response = SendOnce(harness, "/chat/1");
+  CHECK(response.status == 200);
+  CHECK(response.complete);
+  CHECK(response.body == Events(0, 4));
+  CHECK(KnownCrashes(harness) == 0);
+}
+
 // Guards against the end of a connection within an event being taken for the
 // end of the stream.
 TEST_CASE("a stream that ends within an event is resumed elsewhere")
