Show what a response cut at any byte looks like; refuse an empty one

Other operators saw a 200 with an empty or short body, framed as whole, from engines that stopped in the middle of a response's head. A loop over all bytes of three realistic responses (length, chunks, neither), closed and reset, on the four kinds of route (3,700 requests), as the first request of a connection, as its second one, and with a repeat on another engine, found one place: a head with neither length nor chunks, closed right after its blank line, on plain routes. The caller got a 200 with Content-Length: 0 (2 of 24 combinations, /book/ and /look/, one byte position each). Everywhere else it got 502, the repeat's whole response, or, once a stream had begun, no end marker.

Cause: such a body ends with its connection, so one of no bytes is whole as far as HTTP says, and the daemon stated the length that the engine had not. Nothing tells it from an engine that stopped there, and an engine with an empty response states that (Content-Length: 0, an empty last chunk, 204): these are passed on, as before. A success without framing and without a byte counts as broken off: 502, or a repeat where the route allows it. A body of some bytes without framing is whole when its connection is closed, as before: the engines' protocol says so.

RawEngine can serve whole responses on a connection before the one that is cut.

Not taken: passing bodies without framing on without framing. It tells the caller no more, and costs the caller's connection.

Measured: "a response that is cut at any byte never looks whole" failed in 2 of 24 combinations before (6 of 8,162 assertions), passes after; 4.8 s. The other five tests take 4.4 s together and passed without the change, but for the empty HTTP/1.0 response of "a response whose head is broken is not passed on", which was not run without it.

--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kServerError = 500;
 /** Pause within a response after which its back end counts as silent. Engines
  * pause streams themselves when their memory is full, for some hundred ms. */
@@ -19,6 +20,12 @@
 /** Interval of the tries to hold a response for which there is no room. */
 constexpr Millis kRoomPollInterval{ 5 };
 
+bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus >= kOk && aStatus < kFirstRedirect;
+}
+
 } // namespace
 
 Task<SendOutcome>
@@ -384,6 +391,14 @@
       co_return SendOutcome::eMayHaveRun;
     }
   }
+  const bool hasNoBody = aExchange.EndsWithConnection() && IsSuccess(status) &&
+                         response.body().empty();
+  if (hasNoBody) {
+    // Nothing shows that the engine did not stop after the head. One with an
+    // empty response states that length.
+    this->lastFailure = "the connection ended before the body";
+    co_return SendOutcome::eMayHaveRun;
+  }
   const bool crashed =
     co_await this->EndedByCrash(aExchange, aPlacement.backend);
   if (crashed) {
--- a/standin/platform/RawEngine.cpp
+++ b/standin/platform/RawEngine.cpp
@@ -62,44 +62,65 @@
   }
 }
 
-Task<void>
-RawEngine::Serve(tcp::socket aSocket)
+Task<bool>
+RawEngine::Respond(tcp::socket& aSocket,
+                   boost::beast::flat_buffer& aBuffer,
+                   const std::string& aResponse,
+                   bool aIsLast)
 {
   boost::system::error_code error;
-  boost::beast::flat_buffer buffer;
   http::request_parser<http::string_body> parser;
   parser.body_limit(boost::none);
   co_await http::async_read_header(
-    aSocket, buffer, parser, net::redirect_error(net::use_awaitable, error));
+    aSocket, aBuffer, parser, net::redirect_error(net::use_awaitable, error));
   if (!error && this->readsBody) {
     co_await http::async_read(
-      aSocket, buffer, parser, net::redirect_error(net::use_awaitable, error));
+      aSocket, aBuffer, parser, net::redirect_error(net::use_awaitable, error));
   }
   if (error) {
-    co_return; // a connection without a request
+    co_return false; // a connection without a request
   }
   const HttpRequest& request = parser.get();
   ++this->requests;
   this->attempts.push_back(HeaderOf(request, "Attempt-Id"));
   constexpr std::string_view kPlaceholder = "ATTEMPT";
-  std::string bytes = this->response;
+  std::string bytes = aResponse;
   const auto attempt = bytes.find(kPlaceholder);
   if (attempt != std::string::npos) {
     bytes.replace(
       attempt, kPlaceholder.size(), HeaderOf(request, "Attempt-Id"));
   }
-  if (this->stopsAfterResponse) {
+  if (aIsLast && this->stopsAfterResponse) {
     this->Stop();
   }
   co_await net::async_write(aSocket,
                             net::buffer(bytes),
                             net::redirect_error(net::use_awaitable, error));
-  if (!this->repeated.empty() && !error) {
+  co_return !error;
+}
+
+Task<void>
+RawEngine::Serve(tcp::socket aSocket)
+{
+  boost::beast::flat_buffer buffer;
+  for (const std::string& earlier : this->earlierResponses) {
+    const bool responded =
+      co_await this->Respond(aSocket, buffer, earlier, false);
+    if (!responded) {
+      co_return;
+    }
+  }
+  const bool responded =
+    co_await this->Respond(aSocket, buffer, this->response, true);
+  if (!responded) {
+    co_return;
+  }
+  if (!this->repeated.empty()) {
     co_await this->Repeat(aSocket);
   }
+  boost::system::error_code error;
   if (this->end == ConnectionEnd::eReset) {
-    // Until the bytes have been read: a reset discards them.
-    co_await Sleep(std::chrono::milliseconds(50));
+    co_await Sleep(this->resetDelay);
     aSocket.set_option(net::socket_base::linger(true, 0), error);
   } else {
     aSocket.shutdown(tcp::socket::shutdown_both, error);
--- a/standin/platform/RawEngine.h
+++ b/standin/platform/RawEngine.h
@@ -9,6 +9,7 @@
 #include "edge/Worker.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -22,9 +23,10 @@
   eReset,
 };
 
-/** Each connection serves one request: the response, in which ATTEMPT is
- * replaced by the request's attempt ID, then `repeated` for as long as the peer
- * reads it, then the end of the connection.
+/** Each connection serves the requests that have one of the earlier responses,
+ * and one more: the response, then `repeated` for as long as the peer reads it,
+ * then the end of the connection. In responses, ATTEMPT is replaced by the
+ * request's attempt ID.
  *
  * Thread safety: none; belongs to the worker. */
 class RawEngine
@@ -38,12 +40,17 @@
   /** Stops listening, as a crash does. */
   void Stop();
 
+  /** Responses to the first requests of each connection, which stays open. */
+  std::vector<std::string> earlierResponses;
   std::string response;
   std::string repeated; // empty: nothing follows the response
   std::chrono::milliseconds repeatInterval{ 0 };
   std::size_t repeatedBytes = 0; // that all peers have taken
   std::size_t closedByPeer = 0;  // connections that a peer closed meanwhile
   ConnectionEnd end = ConnectionEnd::eClose;
+  /** From the response to a reset, which discards what the peer has not read.
+   */
+  std::chrono::milliseconds resetDelay{ 50 };
   bool readsBody = true; // otherwise it responds after the request's head
   bool stopsAfterResponse = false;
   std::size_t requests = 0;
@@ -52,6 +59,12 @@
 private:
   Task<void> Accept();
   Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+  /** Reads a request and writes the response to it.
+   * \return whether both succeeded */
+  Task<bool> Respond(boost::asio::ip::tcp::socket& aSocket,
+                     boost::beast::flat_buffer& aBuffer,
+                     const std::string& aResponse,
+                     bool aIsLast);
   /** Repeats until the peer closes the connection, at most kMaxRepeatedBytes.
    */
   Task<void> Repeat(boost::asio::ip::tcp::socket& aSocket);
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -69,6 +69,11 @@
   /** Adds an engine whose responses are given as bytes. */
   standin::RawEngine& AddRawEngine(const std::string& aId,
                                    const std::string& aService);
+  /** Precondition: AddRawEngine. */
+  standin::RawEngine& FindRawEngine(const std::string& aId)
+  {
+    return *this->rawEngines.at(aId);
+  }
   /** Puts a path that can be cut between the daemon and each engine that was
    * added; other daemons still connect to the engines directly. */
   void AddPaths();
