Read no part of a log's page as a page

A page of the product's log is a message of which a part can be parsed too, and so can one without bytes. When the response has no length and ends with its connection, a part of it was a page: without records, or with a next offset and fewer records than lie before it. The reader then went on after records that it never saw, or took the log for empty and its state for loaded.

A page now has to hold each record from the offset asked for (or the earliest one) to the next offset that it states. Our log always does.

The other responses that daemons read were cut at each byte in the same way, with a length and without, closed and reset, and held: the store's append and pages of latest records, the instance list, an engine's report, the log's append (with a length), the product's stream of tokens, and responses to relayed requests (200, stream, refusal).

Measured: "a cut response to the product's own calls is none" failed before, with five parts of a page taken for one ({ 51, 53, 55, 68, 81, 94 } == { 94 }), and passes after.

--- a/src/edge/LogClient.cpp
+++ b/src/edge/LogClient.cpp
@@ -3,6 +3,8 @@
 #include "HttpExchange.h"
 #include "Worker.h"
 
+#include <algorithm>
+
 namespace toucanshed {
 
 namespace {
@@ -34,6 +36,22 @@
   co_return Result<void>{};
 }
 
+/** Whether the page has all records from aFrom to where it says that the next
+ * one begins. A part of a page can be parsed too, and one without bytes: its
+ * reader would skip records, or take the log for empty. */
+bool
+IsContiguous(const records::LogPage& aPage, std::uint64_t aFrom)
+{
+  std::uint64_t expected = std::max(aFrom, aPage.earliest());
+  for (const records::LogEntry& entry : aPage.entries()) {
+    if (entry.offset() != expected) {
+      return false;
+    }
+    ++expected;
+  }
+  return aPage.earliest() > 0 && aPage.next() == expected;
+}
+
 Task<Result<records::LogPage>>
 Read(Worker& aWorker,
      Endpoint aEndpoint,
@@ -58,6 +76,10 @@
                                 std::to_string(response->result_int())
                             : response.error().message);
   }
+  if (!IsContiguous(page, aFrom)) {
+    co_return Fail(ErrorCode::eProtocol,
+                   "log page: expected all records up to the next offset");
+  }
   co_return page;
 }
 
