Let silence end no run of the own interface without a takeover

What callers saw: an engine that sent no token for 4 s, or paused for 1.5 s, lost its run though it would have gone on. Without a retry left the request failed; with one engine the same engine started the run again, up to 12 times.

Cause: ModelAttempt's timeouts cancelled the run; whether another attempt follows was decided after that, by the retry budget, kMaxAttempts and a place.

Change: a watch beside the read looks for silence. It ends the run only when another engine takes over: the response has begun or the silent engine does not answer on a new connection, attempts are left, the retry is paid, and a place is taken on an engine that the request has not tried (the old version's in a rollout). Otherwise the run lasts until the caller's time is over: until now the deadline bounded only the wait for a place. Keep-alive probes end connections whose other end is gone. An engine that is silent to all runs gets one request at a time. Silent streams are handed over by a stopping daemon, which was looked at only after a token.

A run without a token starts anew and may take as long elsewhere, so a live engine is waited for. What it costs: a live engine that never answers a run without a token holds it until the deadline, where a retry after 4 s would have been tried.

--- a/src/coord/Engine.h
+++ b/src/coord/Engine.h
@@ -46,12 +46,23 @@
   double meanServiceMs = 400; // time that a request occupies a slot
   double slowness = 1;        // observed / expected first token latency
   TimePoint downUntil;
+  std::uint64_t silentRuns = 0; // of inFlight, without a sign of it for long
+  TimePoint lastSignAt;         // data that it has sent to any of its runs
+  TimePoint silentSince;        // to all of its runs; 0: it is not
   AdaptiveLimit concurrencyLimit{ 1 };
 
   /** Estimates the present number of requests at the engine.
    * \param aDaemons how many daemons send to it; each is assumed to have sent
    *   as many requests since the report as this one */
   [[nodiscard]] double EstimatedLoad(double aDaemons) const;
+
+  /** It has been silent to all of its runs for long, and not yet for long to
+   * the latest one. It gets one request at a time, which shows whether it is
+   * back, until it has sent something. */
+  [[nodiscard]] bool IsStalled() const
+  {
+    return this->silentSince.ms != 0 && this->inFlight > this->silentRuns;
+  }
 };
 
 } // namespace toucanshed
--- a/src/coord/RetryBudget.h
+++ b/src/coord/RetryBudget.h
@@ -28,10 +28,11 @@
     this->available =
       std::min(kMaxRetries, this->available + kRetriesPerRequest);
   }
+  [[nodiscard]] bool HasRetry() const { return this->available >= 1; }
   /** Takes one retry. \return false when none is left. */
   bool TryTakeRetry()
   {
-    if (this->available < 1) {
+    if (!this->HasRetry()) {
       return false;
     }
     this->available -= 1;
--- a/src/coord/Router.cpp
+++ b/src/coord/Router.cpp
@@ -152,6 +152,7 @@
                   TimePoint aNow) const
 {
   if (aEngine.report.leaving || aEngine.downUntil > aNow ||
+      aEngine.IsStalled() ||
       !aEngine.concurrencyLimit.Allows(static_cast<double>(aEngine.inFlight))) {
     return false;
   }
@@ -347,18 +348,58 @@
 }
 
 void
-Router::Finish(const EngineChoice& aChoice, const EngineResult& aResult)
+Router::ReleaseSlot(Engine& aEngine, const EngineChoice& aChoice)
+{
+  aEngine.inFlight -= aEngine.inFlight > 0 ? 1 : 0;
+  if (aChoice.reportNumber == aEngine.reportCount) {
+    --aEngine.inFlightSinceReport;
+  } else {
+    ++aEngine.endedSinceReport;
+  }
+}
+
+void
+Router::ReturnSlot(const EngineChoice& aChoice)
+{
+  if (Engine* engine = this->FindEngine(aChoice.IncarnationKey())) {
+    ReleaseSlot(*engine, aChoice);
+  }
+}
+
+void
+Router::RecordSilence(const EngineChoice& aChoice, TimePoint aSince)
 {
   Engine* engine = this->FindEngine(aChoice.IncarnationKey());
   if (engine == nullptr) {
     return;
   }
-  engine->inFlight -= engine->inFlight > 0 ? 1 : 0;
-  if (aChoice.reportNumber == engine->reportCount) {
-    --engine->inFlightSinceReport;
-  } else {
-    ++engine->endedSinceReport;
+  ++engine->silentRuns;
+  if (engine->lastSignAt <= aSince) {
+    engine->silentSince = aSince;
+  }
+}
+
+void
+Router::RecordSign(const EngineChoice& aChoice, bool aWasSilent, TimePoint aNow)
+{
+  Engine* engine = this->FindEngine(aChoice.IncarnationKey());
+  if (engine == nullptr) {
+    return;
+  }
+  engine->lastSignAt = aNow;
+  engine->silentSince = TimePoint{};
+  engine->silentRuns -= aWasSilent && engine->silentRuns > 0 ? 1 : 0;
+}
+
+void
+Router::Finish(const EngineChoice& aChoice, const EngineResult& aResult)
+{
+  Engine* engine = this->FindEngine(aChoice.IncarnationKey());
+  if (engine == nullptr) {
+    return;
   }
+  ReleaseSlot(*engine, aChoice);
+  engine->silentRuns -= aResult.silent && engine->silentRuns > 0 ? 1 : 0;
   if (aResult.completed) {
     engine->meanServiceMs +=
       kSmoothingFactor * (aResult.totalMs - engine->meanServiceMs);
--- a/src/coord/Router.h
+++ b/src/coord/Router.h
@@ -63,6 +63,7 @@
   bool completed = false;
   double firstTokenMs = -1; // negative: no token was received
   double totalMs = 0;
+  bool silent = false; // RecordSilence was called, and no RecordSign since
 };
 
 /**
@@ -115,6 +116,15 @@
     const std::string& aIncarnationKey,
     TimePoint aNow);
   void Finish(const EngineChoice& aChoice, const EngineResult& aResult);
+  /** Releases a slot to which nothing was sent. */
+  void ReturnSlot(const EngineChoice& aChoice);
+
+  /** The engine has sent nothing to the run since aSince, which is long.
+   * Precondition: not called for the run since its latest RecordSign. */
+  void RecordSilence(const EngineChoice& aChoice, TimePoint aSince);
+  /** The engine has sent something to the run.
+   * \param aWasSilent RecordSilence was called since the latest sign */
+  void RecordSign(const EngineChoice& aChoice, bool aWasSilent, TimePoint aNow);
 
   /** Slots and waiting requests, summed over a version's available back ends.
    */
@@ -172,6 +182,7 @@
                   const RouteRequest& aRequest,
                   TimePoint aNow);
   static EngineChoice TakeSlot(Engine& aEngine, double aExpectedMs);
+  static void ReleaseSlot(Engine& aEngine, const EngineChoice& aChoice);
   [[nodiscard]] double MaxInFlight(const EngineReport& aReport) const;
 
   Random random;
--- a/src/daemon/AdmissionController.cpp
+++ b/src/daemon/AdmissionController.cpp
@@ -154,6 +154,20 @@
   });
 }
 
+std::optional<EngineSlot>
+AdmissionController::TryAdmit(RouteRequest aRequest, const QueueItem& aItem)
+{
+  const QueueKey key{ aRequest.service, aRequest.version };
+  return this->queues.WithLock(
+    [&](Queues& aQueues) -> std::optional<EngineSlot> {
+      VersionQueue& versionQueue = QueueOf(aQueues, key);
+      if (versionQueue.queue.Size() != 0) {
+        return std::nullopt;
+      }
+      return this->TryAcquireSlot(versionQueue, std::move(aRequest), aItem);
+    });
+}
+
 Task<tl::expected<EngineSlot, AdmissionError>>
 AdmissionController::Admit(Worker& aWorker,
                            RouteRequest aRequest,
--- a/src/daemon/AdmissionController.h
+++ b/src/daemon/AdmissionController.h
@@ -60,6 +60,9 @@
   Task<tl::expected<EngineSlot, AdmissionError>> Admit(Worker& aWorker,
                                                        RouteRequest aRequest,
                                                        QueueItem aItem);
+  /** Takes a slot that is free now; none while other requests wait for one. */
+  std::optional<EngineSlot> TryAdmit(RouteRequest aRequest,
+                                     const QueueItem& aItem);
   /** Releases a slot and starts a waiting request on it. Precondition: the end
    * of the request is recorded at the router. */
   void Release(const EngineSlot& aSlot);
--- a/src/daemon/ModelAttempt.cpp
+++ b/src/daemon/ModelAttempt.cpp
@@ -5,19 +5,25 @@
 namespace {
 
 constexpr Millis kConnectTimeout{ 300 };
-constexpr Millis kFirstTokenTimeout{ 4000 };
-constexpr Millis kTokenGapTimeout{ 1500 };
 constexpr Millis kProbeTimeout{ 400 };
+constexpr Millis kSilenceCheckInterval{ 100 };
+/** Interval of the checks whether the engine of a silent run is alive. */
+constexpr Millis kLivenessInterval{ 1000 };
+/** Interval of a run's signs at the router, which need its lock. */
+constexpr Millis kSignInterval{ 200 };
 constexpr std::uint64_t kBytesPerToken = 5;
 
-CallTimeouts
-EngineTimeouts()
+/** Asks on a new connection, which distinguishes a crashed engine from a
+ * connection whose state was lost between the two ends. */
+Task<bool>
+IsEngineAlive(Worker& aWorker, EngineChoice aChoice)
 {
-  CallTimeouts timeouts;
-  timeouts.connect = kConnectTimeout;
-  timeouts.head = kFirstTokenTimeout;
-  timeouts.bodyIdle = kTokenGapTimeout;
-  return timeouts;
+  EngineReport engine;
+  engine.id = aChoice.id;
+  engine.address = aChoice.address;
+  const auto report =
+    co_await FetchEngineReport(aWorker, engine, kProbeTimeout);
+  co_return report && report->incarnation == aChoice.incarnation;
 }
 
 } // namespace
@@ -87,6 +93,57 @@
                             .With("engine", this->plan.choice.IncarnationKey())
                             .With("version", this->plan.choice.version)
                             .With("from", this->response.TokenCount()));
+  const auto ended = std::make_shared<bool>(false);
+  this->worker.Spawn(this->WatchSilence(ended));
+  std::unique_ptr<EngineStream> stream = co_await this->Generate();
+  *ended = true;
+  if (this->result.status == AttemptStatus::eStalled) {
+    const bool alive = co_await IsEngineAlive(this->worker, this->plan.choice);
+    if (alive) {
+      this->worker.connectionPool.CloseIdle(
+        *ParseEndpoint(this->plan.choice.address));
+    }
+    this->result.status =
+      alive ? AttemptStatus::eStalled : AttemptStatus::eCrashed;
+  }
+  const bool abandoned =
+    this->result.status == AttemptStatus::eStalled ||
+    this->result.status == AttemptStatus::eCallerDisconnected ||
+    this->result.status == AttemptStatus::eHandingOver;
+  if (abandoned) {
+    co_await CancelEngineAttempt(
+      this->worker, this->plan.choice.address, this->id);
+  }
+  if (this->result.status == AttemptStatus::eMigrating) {
+    aSource.emplace(
+      MigrationSource{ this->plan.choice, this->id, std::move(stream) });
+  } else if (this->engineLeaving) {
+    this->LeaveMigrationQueue(this->plan.choice.IncarnationKey());
+  }
+  this->result.totalMs = this->ElapsedMs();
+  co_return this->result;
+}
+
+CallTimeouts
+ModelAttempt::EngineTimeouts() const
+{
+  // A stream that has begun may last beyond the deadline.
+  const ModelRequest& request = this->plan.request;
+  const Millis callerTime = request.deadline - request.arrived;
+  const Millis timeLeft = request.deadline - this->state.Now();
+  const bool continues = this->response.TokenCount() > 0;
+  CallTimeouts timeouts;
+  timeouts.connect = kConnectTimeout;
+  timeouts.head =
+    std::max(continues ? callerTime : timeLeft, kFirstTokenSilence);
+  timeouts.bodyIdle = std::max(callerTime, kTokenGapSilence);
+  timeouts.probesPeer = true;
+  return timeouts;
+}
+
+Task<std::unique_ptr<EngineStream>>
+ModelAttempt::Generate()
+{
   GenerationRequest call;
   call.attempt = this->id;
   call.prompt = this->plan.request.prompt;
@@ -95,44 +152,125 @@
   call.resumeFrom = this->response.TokenCount();
   call.resumeText = this->response.Text();
   this->start = std::chrono::steady_clock::now();
+  this->awaitsSince = this->state.Now();
   PreSendCheck check =
     this->state.UsableCheck(this->plan.choice.IncarnationKey());
   auto opened = co_await OpenEngineStream(this->worker,
                                           this->plan.choice.address,
                                           std::move(call),
-                                          EngineTimeouts(),
+                                          this->EngineTimeouts(),
+                                          this->abort,
                                           std::move(check));
   std::unique_ptr<EngineStream> stream;
   if (opened) {
+    this->responseBegun = true;
+    this->RecordSign();
     stream = std::make_unique<EngineStream>(std::move(*opened));
     this->result.sent = true;
     this->result.status = co_await this->ReadTokens(*stream);
   } else {
-    this->result.status = this->StatusOf(opened.error());
+    const AttemptStatus sentStatus = this->RecordError(opened.error());
+    const AttemptStatus status = StatusOf(opened.error().kind);
+    this->result.status =
+      status == AttemptStatus::eStalled ? sentStatus : status;
     this->result.sent = this->result.status != AttemptStatus::eUnreachable &&
                         this->result.status != AttemptStatus::eRejected;
   }
-  if (this->result.status == AttemptStatus::eStalled) {
-    const bool alive = co_await this->IsEngineAlive();
-    this->result.status =
-      alive ? AttemptStatus::eStalled : AttemptStatus::eCrashed;
+  this->awaitsSince.reset();
+  co_return stream;
+}
+
+Task<void>
+ModelAttempt::WatchSilence(std::shared_ptr<const bool> aEnded)
+{
+  Worker& probingWorker = this->worker;
+  const EngineChoice engine = this->plan.choice;
+  while (true) {
+    co_await Sleep(kSilenceCheckInterval);
+    if (*aEnded || this->interruption) {
+      co_return;
+    }
+    if (this->awaitsSince && this->ShouldHandOver()) {
+      this->Interrupt(AttemptStatus::eHandingOver);
+      co_return;
+    }
+    if (!this->IsSilent()) {
+      continue;
+    }
+    // A run without a token would start anew elsewhere, and may take as long
+    // there. So an engine that is alive is waited for.
+    if (this->response.TokenCount() == 0) {
+      const bool alive = co_await IsEngineAlive(probingWorker, engine);
+      if (alive) {
+        co_await Sleep(kLivenessInterval);
+      }
+      if (*aEnded) {
+        co_return;
+      }
+      if (alive || !this->IsSilent()) {
+        continue;
+      }
+    }
+    if (this->plan.placeTakeover()) {
+      this->Interrupt(AttemptStatus::eStalled);
+      co_return;
+    }
   }
-  const bool abandoned =
-    this->result.status == AttemptStatus::eStalled ||
-    this->result.status == AttemptStatus::eCallerDisconnected ||
-    this->result.status == AttemptStatus::eHandingOver;
-  if (abandoned) {
-    co_await CancelEngineAttempt(
-      this->worker, this->plan.choice.address, this->id);
+}
+
+bool
+ModelAttempt::ShouldHandOver() const
+{
+  return this->plan.mayHandOver && this->state.handingOver &&
+         this->response.TokenCount() > 0;
+}
+
+bool
+ModelAttempt::IsSilent()
+{
+  const Millis limit =
+    this->responseBegun ? kTokenGapSilence : kFirstTokenSilence;
+  const TimePoint now = this->state.Now();
+  if (!this->awaitsSince || now - *this->awaitsSince < limit) {
+    return false;
   }
-  if (this->result.status == AttemptStatus::eMigrating) {
-    aSource.emplace(
-      MigrationSource{ this->plan.choice, this->id, std::move(stream) });
-  } else if (this->engineLeaving) {
-    this->LeaveMigrationQueue(this->plan.choice.IncarnationKey());
+  if (std::exchange(this->result.silent, true)) {
+    return true;
   }
-  this->result.totalMs = this->ElapsedMs();
-  co_return this->result;
+  const TimePoint since = *this->awaitsSince;
+  this->state.router.WithLock(
+    [&](Router& aRouter) { aRouter.RecordSilence(this->plan.choice, since); });
+  this->state.metrics.Count("toucanshed_silent_attempts_total");
+  this->state.events.Emit(Event("attempt.silent")
+                            .With("request", this->plan.request.id)
+                            .With("attempt", this->id)
+                            .With("engine", this->plan.choice.IncarnationKey())
+                            .With("ms", (now - since).count()));
+  return true;
+}
+
+void
+ModelAttempt::RecordSign()
+{
+  const TimePoint now = this->state.Now();
+  const bool wasSilent = std::exchange(this->result.silent, false);
+  if (!wasSilent && now - this->signRecordedAt < kSignInterval) {
+    return;
+  }
+  this->signRecordedAt = now;
+  this->state.router.WithLock([&](Router& aRouter) {
+    aRouter.RecordSign(this->plan.choice, wasSilent, now);
+  });
+  if (wasSilent) {
+    this->state.admission.DispatchQueued();
+  }
+}
+
+void
+ModelAttempt::Interrupt(AttemptStatus aStatus)
+{
+  this->interruption = aStatus;
+  this->abort->Abort();
 }
 
 Task<void>
@@ -174,10 +312,16 @@
 {
   const std::uint64_t tokensBefore = this->response.TokenCount();
   while (true) {
+    this->awaitsSince = this->state.Now();
     auto event = co_await aStream.Next();
-    if (!event || !event->has_value()) {
+    this->awaitsSince.reset();
+    if (!event) {
+      co_return this->RecordError(event.error());
+    }
+    if (!event->has_value()) {
       co_return AttemptStatus::eStalled;
     }
+    this->RecordSign();
     const EngineEvent& received = **event;
     if (received.done && received.attempt == this->id.value) {
       co_return this->HandleDone(received, tokensBefore);
@@ -238,14 +382,24 @@
 }
 
 AttemptStatus
-ModelAttempt::StatusOf(const EngineError& aError)
+ModelAttempt::RecordError(const EngineError& aError)
 {
+  if (this->interruption) {
+    return *this->interruption;
+  }
+  this->result.timedOut = aError.kind == EngineErrorKind::eTimedOut;
   this->state.events.Emit(Event("attempt.failed")
                             .With("request", this->plan.request.id)
                             .With("attempt", this->id)
                             .With("engine", this->plan.choice.IncarnationKey())
                             .With("reason", aError.message));
-  switch (aError.kind) {
+  return AttemptStatus::eStalled;
+}
+
+AttemptStatus
+ModelAttempt::StatusOf(EngineErrorKind aKind)
+{
+  switch (aKind) {
     case EngineErrorKind::eUnreachable:
       return AttemptStatus::eUnreachable;
     case EngineErrorKind::eRejected:
@@ -260,25 +414,6 @@
   return AttemptStatus::eStalled;
 }
 
-Task<bool>
-ModelAttempt::IsEngineAlive()
-{
-  // Uses a new connection, which distinguishes a crashed engine from a
-  // connection whose state was lost between the two ends.
-  EngineReport engine;
-  engine.id = this->plan.choice.id;
-  engine.address = this->plan.choice.address;
-  const auto report =
-    co_await FetchEngineReport(this->worker, engine, kProbeTimeout);
-  const bool alive =
-    report && report->incarnation == this->plan.choice.incarnation;
-  if (alive) {
-    this->worker.connectionPool.CloseIdle(
-      *ParseEndpoint(this->plan.choice.address));
-  }
-  co_return alive;
-}
-
 bool
 ModelAttempt::MayMigrate()
 {
--- a/src/daemon/ModelAttempt.h
+++ b/src/daemon/ModelAttempt.h
@@ -27,7 +27,7 @@
   eRejected,
   eUnreachable,
   eFailed,
-  eStalled,     // timed out or cut, but the engine is alive
+  eStalled,     // taken over, timed out or cut, but the engine is alive
   eMigrating,   // the engine is being reclaimed
   eHandingOver, // this daemon is stopping
   eCrashed,
@@ -46,6 +46,8 @@
   double firstTokenMs = -1;
   double meanTokenGapMs = -1;
   double totalMs = 0;
+  bool timedOut = false; // the engine was silent until the caller's time ended
+  bool silent = false;   // the router counts it as silent
 };
 
 /** The attempt that a migrating stream comes from. Its connection is kept open
@@ -65,6 +67,9 @@
   EngineChoice choice;
   int priority = 0;
   bool mayHandOver = false; // to a peer, when this daemon is stopping
+  /** Places the request on another engine for its next attempt. Called now and
+   * then while the engine is silent; the attempt ends if it returns true. */
+  std::function<bool()> placeTakeover = [] { return false; };
 };
 
 /** Estimates the number of tokens of a text from its length, because engines
@@ -74,7 +79,10 @@
 
 /**
  * Continues after the tokens that the response has, and reads the engine's
- * stream into the response. If the end is unclear, it finds out whether only
+ * stream into the response. A silent engine may still answer, so its silence
+ * ends the attempt only when another engine takes the request over, or when the
+ * caller's time is over: at the request's deadline, or that long after the
+ * latest token. If the end is unclear, it finds out whether only
  * the connection was lost or the engine has crashed.
  *
  * Thread safety: none; belongs to its worker.
@@ -82,6 +90,11 @@
 class ModelAttempt
 {
 public:
+  /** Time without a first token after which an engine counts as silent. */
+  static constexpr Millis kFirstTokenSilence{ 4000 };
+  /** The same within its stream. */
+  static constexpr Millis kTokenGapSilence{ 1500 };
+
   /** Precondition: the response and the sink outlive the attempt. */
   ModelAttempt(DaemonState& aState,
                Worker& aWorker,
@@ -98,12 +111,26 @@
 private:
   /** Transfers a migrating stream's state to this engine. */
   Task<void> TransferState(std::optional<MigrationSource>& aSource);
+  /** Sends the request and reads its response. \return the stream, if it
+   * began */
+  Task<std::unique_ptr<EngineStream>> Generate();
   Task<AttemptStatus> ReadTokens(EngineStream& aStream);
+  [[nodiscard]] CallTimeouts EngineTimeouts() const;
+  /** Ends the attempt if it is to go on elsewhere while the engine is silent.
+   * Runs until *aEnded, which is set before this is destroyed. */
+  Task<void> WatchSilence(std::shared_ptr<const bool> aEnded);
+  [[nodiscard]] bool ShouldHandOver() const;
+  /** Whether the engine has been silent for long; counts it if so. */
+  bool IsSilent();
+  /** The engine has sent something. */
+  void RecordSign();
+  void Interrupt(AttemptStatus aStatus);
   AttemptStatus HandleDone(const EngineEvent& aEvent,
                            std::uint64_t aTokensBefore);
   Task<std::optional<AttemptStatus>> HandleToken(const EngineEvent& aEvent);
-  AttemptStatus StatusOf(const EngineError& aError);
-  Task<bool> IsEngineAlive();
+  /** Logs the error. \return the status if bytes were sent */
+  AttemptStatus RecordError(const EngineError& aError);
+  static AttemptStatus StatusOf(EngineErrorKind aKind);
   /** Whether the engine is leaving and this stream may migrate now. */
   bool MayMigrate();
   void LeaveMigrationQueue(const std::string& aIncarnationKey);
@@ -120,6 +147,11 @@
   double lastTokenMs = 0;
   std::uint64_t seenLeavingChanges = 0;
   bool engineLeaving = false;
+  std::shared_ptr<AbortHandle> abort = std::make_shared<AbortHandle>();
+  std::optional<AttemptStatus> interruption; // why it was aborted
+  std::optional<TimePoint> awaitsSince;      // none while the caller is written
+  TimePoint signRecordedAt;                  // at the router
+  bool responseBegun = false;
 };
 
 } // namespace toucanshed
--- a/src/daemon/ModelCall.cpp
+++ b/src/daemon/ModelCall.cpp
@@ -104,6 +104,7 @@
   this->state.retryBudget.WithLock(
     [](RetryBudget& aBudget) { aBudget.RecordRequest(); });
   RequestResult result = co_await this->RunAttempts();
+  this->ReturnTakeover();
   if (this->migrationSource) {
     // The request ended while its stream migrated between two engines.
     this->state.factTables.WithLock([&](FactTables& aTables) {
@@ -115,28 +116,38 @@
   co_return result;
 }
 
+Task<AttemptResult>
+ModelCall::RunAttempt(const ExecutionTarget& aTarget)
+{
+  ++this->attempts;
+  AttemptPlan plan;
+  plan.request = this->request;
+  plan.choice = aTarget.choice;
+  plan.priority = aTarget.priority;
+  plan.mayHandOver = this->mayHandOver;
+  plan.placeTakeover = [this, &aTarget] {
+    return this->PlaceTakeover(aTarget);
+  };
+  ModelAttempt attempt(
+    this->state, this->worker, std::move(plan), this->response, this->sink);
+  const AttemptResult result = co_await attempt.Run(this->migrationSource);
+  this->sent = this->sent || result.sent;
+  this->RecordAttempt(aTarget.choice, result);
+  if (aTarget.slot) {
+    this->state.admission.Release(*aTarget.slot);
+  }
+  co_return result;
+}
+
 Task<RequestResult>
 ModelCall::RunAttempts()
 {
   while (this->attempts < kMaxAttempts) {
-    const TargetOrFailure target = co_await this->FindTarget();
+    const TargetOrFailure target = co_await this->NextTarget();
     if (!target) {
       co_return target.error();
     }
-    ++this->attempts;
-    ModelAttempt attempt(
-      this->state,
-      this->worker,
-      AttemptPlan{
-        this->request, target->choice, target->priority, this->mayHandOver },
-      this->response,
-      this->sink);
-    const AttemptResult result = co_await attempt.Run(this->migrationSource);
-    this->sent = this->sent || result.sent;
-    this->RecordAttempt(target->choice, result);
-    if (target->slot) {
-      this->state.admission.Release(*target->slot);
-    }
+    const AttemptResult result = co_await this->RunAttempt(*target);
     if (result.status == AttemptStatus::eComplete) {
       co_return RequestResult{ RequestOutcome::eCompleted, {}, 0 };
     }
@@ -158,7 +169,10 @@
     if (result.status == AttemptStatus::eCrashed) {
       this->RecordCrash(target->choice);
     }
-    if (!this->CanRetry(result.status)) {
+    if (result.timedOut) {
+      co_return this->MakeFailure("the back end did not answer in time", 2);
+    }
+    if (!this->takeover && !this->CanRetry(result.status)) {
       co_return this->MakeFailure(
         "back ends failed and the retry budget is spent", 2);
     }
@@ -166,6 +180,60 @@
   co_return this->MakeFailure("no back end could complete it", 5);
 }
 
+bool
+ModelCall::MayMoveOn() const
+{
+  const SuspectLevel level = this->CurrentSuspectLevel();
+  return level == SuspectLevel::eClear ||
+         (level == SuspectLevel::eSerialized && this->holdsSerialSlot);
+}
+
+bool
+ModelCall::PlaceTakeover(const ExecutionTarget& aSilent)
+{
+  const bool continues = this->response.TokenCount() > 0;
+  const bool hasTime =
+    continues || this->request.deadline - this->state.Now() >=
+                   ModelAttempt::kFirstTokenSilence;
+  const bool isolated = !aSilent.slot;
+  if (!hasTime || isolated || this->attempts >= kMaxAttempts ||
+      !this->MayMoveOn()) {
+    return false;
+  }
+  const auto retry = [&](bool (*aTake)(RetryBudget&)) {
+    return continues || this->state.retryBudget.WithLock(aTake);
+  };
+  if (!retry([](RetryBudget& aBudget) { return aBudget.HasRetry(); })) {
+    return false;
+  }
+  const auto previous =
+    PreviousVersion(this->state, this->request.service, aSilent.choice.version);
+  RouteRequest route =
+    this->MakeRouteRequest(previous ? *previous : this->SelectVersion());
+  route.excluded.insert(aSilent.choice.IncarnationKey());
+  const auto slot =
+    this->state.admission.TryAdmit(std::move(route), this->MakeQueueItem());
+  if (!slot) {
+    return false;
+  }
+  this->takeover = ExecutionTarget{ slot->choice, slot->priority, *slot };
+  if (!retry([](RetryBudget& aBudget) { return aBudget.TryTakeRetry(); })) {
+    this->ReturnTakeover();
+    return false;
+  }
+  return true;
+}
+
+void
+ModelCall::ReturnTakeover()
+{
+  if (const auto unused = std::exchange(this->takeover, std::nullopt)) {
+    this->state.router.WithLock(
+      [&](Router& aRouter) { aRouter.ReturnSlot(unused->choice); });
+    this->state.admission.Release(*unused->slot);
+  }
+}
+
 bool
 ModelCall::CanRetry(AttemptStatus aStatus)
 {
@@ -209,6 +277,30 @@
   return route;
 }
 
+Task<ModelCall::TargetOrFailure>
+ModelCall::NextTarget()
+{
+  if (this->takeover && this->MayMoveOn()) {
+    co_return *std::exchange(this->takeover, std::nullopt);
+  }
+  // The silent engine has crashed, and this request is a suspect now.
+  this->ReturnTakeover();
+  co_return co_await this->FindTarget();
+}
+
+QueueItem
+ModelCall::MakeQueueItem() const
+{
+  QueueItem item;
+  item.team = this->request.team;
+  item.latencyClass = this->request.latencyClass;
+  const std::uint64_t promptTokens = EstimateTokens(this->request.prompt);
+  item.cost = static_cast<double>(this->request.maxTokens + promptTokens);
+  item.arrived = this->request.arrived;
+  item.deadline = this->request.deadline;
+  return item;
+}
+
 Task<ModelCall::TargetOrFailure>
 ModelCall::FindTarget()
 {
@@ -226,17 +318,10 @@
   if (level == SuspectLevel::eIsolated) {
     co_return co_await this->FindIsolatedTarget();
   }
-  QueueItem item;
-  item.team = this->request.team;
-  item.latencyClass = this->request.latencyClass;
-  const std::uint64_t promptTokens = EstimateTokens(this->request.prompt);
-  item.cost = static_cast<double>(this->request.maxTokens + promptTokens);
-  item.arrived = this->request.arrived;
-  item.deadline = this->request.deadline;
   const VersionId version = this->SelectVersion();
   this->ResetTriedIfExhausted(version);
   auto slot = co_await this->state.admission.Admit(
-    this->worker, this->MakeRouteRequest(version), item);
+    this->worker, this->MakeRouteRequest(version), this->MakeQueueItem());
   if (slot) {
     co_return ExecutionTarget{ slot->choice, slot->priority, *slot };
   }
@@ -381,6 +466,7 @@
   engineResult.completed = aResult.status == AttemptStatus::eComplete;
   engineResult.firstTokenMs = aResult.firstTokenMs;
   engineResult.totalMs = aResult.totalMs;
+  engineResult.silent = aResult.silent;
   const bool unavailable = aResult.status == AttemptStatus::eUnreachable ||
                            aResult.status == AttemptStatus::eRejected;
   this->state.router.WithLock([&](Router& aRouter) {
--- a/src/daemon/ModelCall.h
+++ b/src/daemon/ModelCall.h
@@ -59,6 +59,18 @@
 
   Task<RequestResult> RunAttempts();
   Task<TargetOrFailure> FindTarget();
+  /** The engine that takes over from a silent one, or FindTarget's. */
+  Task<TargetOrFailure> NextTarget();
+  /** Sends the request to the engine once. */
+  Task<AttemptResult> RunAttempt(const ExecutionTarget& aTarget);
+  /** Takes a place on an engine that was not tried yet, and a retry, for the
+   * request of a silent engine. \return false if the silent engine must be
+   * waited for */
+  bool PlaceTakeover(const ExecutionTarget& aSilent);
+  /** Whether the suspicion against this request allows it to go on elsewhere
+   * as soon as its present run has ended. */
+  [[nodiscard]] bool MayMoveOn() const;
+  void ReturnTakeover();
   Task<TargetOrFailure> FindIsolatedTarget();
   /** Whether no other suspect request precedes this one on the engine. */
   [[nodiscard]] bool HasIsolationPriorityOn(
@@ -71,6 +83,7 @@
   void RecordAttempt(const EngineChoice& aChoice, const AttemptResult& aResult);
   void RecordCrash(const EngineChoice& aChoice);
   bool CanRetry(AttemptStatus aStatus);
+  [[nodiscard]] QueueItem MakeQueueItem() const;
   RequestResult MakeFailure(const std::string& aReason,
                             std::uint64_t aRetryAfter) const;
   [[nodiscard]] SuspectLevel CurrentSuspectLevel() const;
@@ -91,6 +104,7 @@
   bool mayHandOver = false;
   bool holdsSerialSlot = false;
   std::optional<MigrationSource> migrationSource;
+  std::optional<ExecutionTarget> takeover; // paid for, not sent yet
   std::size_t attempts = 0;
 };
 
--- a/src/daemon/VersionShares.cpp
+++ b/src/daemon/VersionShares.cpp
@@ -2,6 +2,22 @@
 
 namespace toucanshed {
 
+namespace {
+
+std::optional<RolloutState>
+FindRunningRollout(DaemonState& aState, const ServiceId& aService)
+{
+  return aState.control.WithLock(
+    [&](ControlReader& aReader) -> std::optional<RolloutState> {
+      const RolloutState* running =
+        aReader.Table().FindRunningRollout(aService);
+      return running == nullptr ? std::nullopt
+                                : std::optional<RolloutState>(*running);
+    });
+}
+
+} // namespace
+
 std::vector<VersionShare>
 CurrentShares(DaemonState& aState, const ServiceId& aService)
 {
@@ -25,6 +41,17 @@
   return EffectiveShares(*entry, rollout ? &*rollout : nullptr, rolledBack);
 }
 
+std::optional<VersionId>
+PreviousVersion(DaemonState& aState,
+                const ServiceId& aService,
+                const VersionId& aVersion)
+{
+  const auto rollout = FindRunningRollout(aState, aService);
+  return rollout && aVersion == rollout->to
+           ? std::optional<VersionId>(rollout->from)
+           : std::nullopt;
+}
+
 std::optional<VersionId>
 RecordObservation(DaemonState& aState,
                   const ServiceId& aService,
@@ -32,13 +59,7 @@
                   const std::string& aRoute,
                   const Observation& aObservation)
 {
-  const auto rollout = aState.control.WithLock(
-    [&](ControlReader& aReader) -> std::optional<RolloutState> {
-      const RolloutState* running =
-        aReader.Table().FindRunningRollout(aService);
-      return running == nullptr ? std::nullopt
-                                : std::optional<RolloutState>(*running);
-    });
+  const auto rollout = FindRunningRollout(aState, aService);
   if (!rollout) {
     return std::nullopt;
   }
--- a/src/daemon/VersionShares.h
+++ b/src/daemon/VersionShares.h
@@ -16,6 +16,12 @@
 std::vector<VersionShare>
 CurrentShares(DaemonState& aState, const ServiceId& aService);
 
+/** The old version of the rollout that runs, if aVersion is its new one. */
+std::optional<VersionId>
+PreviousVersion(DaemonState& aState,
+                const ServiceId& aService,
+                const VersionId& aVersion);
+
 /** Adds an attempt's observation to the evidence, if a rollout is running.
  * \return the rollout's old version if the observed version is its new one. */
 std::optional<VersionId>
--- a/src/edge/EngineClient.cpp
+++ b/src/edge/EngineClient.cpp
@@ -103,6 +103,7 @@
                  std::string aAddress,
                  GenerationRequest aGeneration,
                  CallTimeouts aTimeouts,
+                 std::shared_ptr<AbortHandle> aAbortHandle,
                  PreSendCheck aPreSendCheck)
 {
   const auto endpoint = ParseEndpoint(aAddress);
@@ -123,7 +124,7 @@
                                             std::move(request),
                                             aTimeouts,
                                             false,
-                                            nullptr,
+                                            std::move(aAbortHandle),
                                             std::move(aPreSendCheck));
   if (!opened) {
     if (opened.error().code == ErrorCode::eTimeout) {
--- a/src/edge/EngineClient.h
+++ b/src/edge/EngineClient.h
@@ -9,6 +9,7 @@
 #include "base/Types.h"
 #include "coord/Engine.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -70,6 +71,7 @@
 };
 
 /** Sends a generation request and opens the stream of its response.
+ * \param aAbortHandle as for HttpExchange::Open
  * \param aPreSendCheck as for HttpExchange::Open; a refusal is reported as an
  *   unreachable engine, since nothing was sent */
 Task<tl::expected<EngineStream, EngineError>>
@@ -77,6 +79,7 @@
                  std::string aAddress,
                  GenerationRequest aGeneration,
                  CallTimeouts aTimeouts,
+                 std::shared_ptr<AbortHandle> aAbortHandle = nullptr,
                  PreSendCheck aPreSendCheck = nullptr);
 
 /** Cancels an attempt at an engine. Uses a new connection, as the attempt's own
--- a/standin/Engine.cpp
+++ b/standin/Engine.cpp
@@ -18,6 +18,8 @@
 /** A prompt that contains this text ends the process if the crash switch is on.
  */
 constexpr std::string_view kCrashMarker = "CRASH-THE-ENGINE";
+/** Tokens that a run generates before the pause of the pause_ms switch. */
+constexpr std::uint64_t kTokensBeforePause = 4;
 
 std::int64_t
 IntegerOf(const json::object& aObject, std::string_view aName)
@@ -319,6 +321,9 @@
 {
   for (std::uint64_t i = aJob.resumeFrom; i < aJob.maxTokens; ++i) {
     co_await Sleep(std::chrono::milliseconds(this->CurrentStepMs()));
+    if (i == aJob.resumeFrom + kTokensBeforePause) {
+      co_await Sleep(std::chrono::milliseconds(this->faults.Value("pause_ms")));
+    }
     co_await this->WaitWhileSilent(aJob);
     if (this->cancelled.count(aJob.attempt) != 0) {
       co_return false;
