Let a read's timeout end nothing after the read

Cause: the timer's handler runs even if the timer is destroyed, once it was due. It then cancelled what the connection did by that time: the watch for a caller that leaves, which takes a cancelled wait for a caller that left, or a write. If the connection was gone, it used it after its end. The window is as long as the loop is behind, so slow machines meet it more often.

Change: the handler does nothing once the timeout is destroyed.

Not shown with a real process: the two events have to fall into one turn of the loop.

--- a/src/edge/ReadTimeout.h
+++ b/src/edge/ReadTimeout.h
@@ -13,6 +13,8 @@
 /** The stream's own timeout would close it, but a sender that is too slow must
  * still get the response that says so.
  *
+ * Has no effect once it is destroyed.
+ *
  * Thread safety: none; belongs to the stream's worker. */
 class ReadTimeout
 {
@@ -24,10 +26,12 @@
     , timedOut(std::make_shared<bool>(false))
   {
     this->timer.expires_after(aTimeout);
-    this->timer.async_wait([flag = this->timedOut,
+    // A timer that is due when it is destroyed runs its handler even so.
+    this->timer.async_wait([flag = std::weak_ptr<bool>(this->timedOut),
                             &aStream](const boost::system::error_code& aError) {
-      if (!aError) {
-        *flag = true;
+      const auto timedOut = flag.lock();
+      if (!aError && timedOut != nullptr) {
+        *timedOut = true;
         aStream.socket().cancel();
       }
     });
