Run requests of real processes beside planned work

The harness writes further configurations, sends SIGHUP, has a queue, and knows which requests the engine has received. It has no second daemon.

--- a/test/CallerConnection.h
+++ b/test/CallerConnection.h
@@ -21,8 +21,16 @@
   /** Returns all that arrives until the connection ends or stands still for
    * long. */
   std::string Receive();
+  /** Returns the next response, with a length or in chunks, and as much of it
+   * as arrives. */
+  std::string ReceiveOne();
 
 private:
+  /** Appends what arrives until a line's end, with it.
+   * \return the line without its end */
+  std::string ReceiveLine(std::string& aText);
+  void ReceiveBytes(std::size_t aBytes, std::string& aText);
+
   boost::asio::ip::tcp::iostream stream;
 };
 
--- a/test/DaemonProcess.cpp
+++ b/test/DaemonProcess.cpp
@@ -94,6 +94,12 @@
   kill(this->process, SIGTERM);
 }
 
+void
+DaemonProcess::Hangup() const
+{
+  kill(this->process, SIGHUP);
+}
+
 std::uint64_t
 DaemonProcess::ProcessorTicks() const
 {
--- a/test/DaemonProcess.h
+++ b/test/DaemonProcess.h
@@ -27,6 +27,8 @@
   [[nodiscard]] bool IsAlive();
   /** Asks the process to stop, as the platform does before planned work. */
   void Terminate() const;
+  /** Tells the process that its settings file has changed (SIGHUP). */
+  void Hangup() const;
   /** Waits until the process has handled what it has received: it uses no more
    * processor time. One that always has something to do is not waited for long.
    */
--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -2,6 +2,8 @@
 
 #include "CallerSocket.h"
 
+#include <array>
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <stdexcept>
@@ -15,7 +17,6 @@
 constexpr Millis kEntryInterval{ 300 };
 constexpr Millis kStartTimeout{ 30000 };
 constexpr Millis kStartPollInterval{ 50 };
-constexpr int kEngineSlots = 6;
 constexpr Millis kHangTime{ 60000 };
 /** Of the descriptors, those that the platform keeps for files. */
 constexpr std::size_t kFileDescriptors = 200;
@@ -35,17 +36,16 @@
 json::object
 RouteText(const char* aName,
           const char* aKind,
-          Millis aTimeout,
+          const PlatformLimits& aLimits,
           bool aResumable = false)
 {
-  constexpr int kTargetMs = 200;
   return json::object{ { "name", aName },
                        { "host", "service.example" },
                        { "path_prefix", std::string("/") + aName + "/" },
                        { "kind", aKind },
-                       { "timeout_ms", aTimeout.count() },
-                       { "target_latency_ms", kTargetMs },
-                       { "gap_aim_ms", kTargetMs },
+                       { "timeout_ms", aLimits.routeTimeout.count() },
+                       { "target_latency_ms", aLimits.latencyTarget.count() },
+                       { "gap_aim_ms", aLimits.latencyTarget.count() },
                        { "priority", 1 },
                        { "service", "plain" },
                        { "max_attempts", 2 },
@@ -53,27 +53,36 @@
 }
 
 std::string
-CatalogText(const PlatformLimits& aLimits)
+CatalogText(const PlatformLimits& aLimits, const PlatformVersion& aVersion)
 {
   const json::object team{ { "name", "team-one" },
-                           { "api_keys", json::array{ "key-one" } } };
+                           { "api_keys", json::array{ aVersion.key } } };
   const json::object limits{
     { "max_header_bytes", 16384 },
     { "max_body_bytes", aLimits.maxBodyBytes },
     { "header_timeout_ms", aLimits.headerTimeout.count() },
     { "idle_timeout_ms", aLimits.idleTimeout.count() }
   };
-  return json::serialize(json::object{
-    { "version", 1 },
-    { "routes",
-      json::array{
-        RouteText("look", "idempotent", aLimits.routeTimeout),
-        RouteText("book", "non_idempotent", aLimits.routeTimeout),
-        RouteText("chat", "streaming", aLimits.routeTimeout),
-        RouteText("keep", "streaming", aLimits.routeTimeout, true) } },
-    { "services", json::array{ json::object{ { "name", "plain" } } } },
-    { "limits", limits },
-    { "tenants", json::array{ team } } });
+  json::array routes;
+  for (const json::object& route :
+       std::array{ RouteText("look", "idempotent", aLimits),
+                   RouteText("book", "non_idempotent", aLimits),
+                   RouteText("chat", "streaming", aLimits),
+                   RouteText("keep", "streaming", aLimits, true) }) {
+    if (route.at("name").as_string() != aVersion.removedRoute) {
+      routes.push_back(route);
+    }
+  }
+  json::object service{ { "name", "plain" } };
+  if (aLimits.hasQueue) {
+    service["engine"] = json::object{ { "slots", aLimits.slots } };
+  }
+  return json::serialize(
+    json::object{ { "version", aVersion.number },
+                  { "routes", std::move(routes) },
+                  { "services", json::array{ std::move(service) } },
+                  { "limits", limits },
+                  { "tenants", json::array{ team } } });
 }
 
 std::string
@@ -131,7 +140,7 @@
     [this](Worker&, const HttpRequest& aRequest, HttpResponder& aResponder) {
       return this->HandleEngine(aRequest, aResponder);
     });
-  this->store.AppendKeyed("keyed.op", "config", CatalogText(this->limits));
+  this->store.AppendKeyed("keyed.op", "config", CatalogText(this->limits, {}));
   for (const auto& [key, value] : this->limits.otherEntries) {
     this->store.AppendKeyed("keyed.servers", key, value);
   }
@@ -157,6 +166,23 @@
   this->Stop();
 }
 
+bool
+ServedPlatform::HasEngineReceived(const std::string& aAttempt) const
+{
+  const std::lock_guard<std::mutex> lock(this->attemptsMutex);
+  return this->engineAttempts.contains(aAttempt);
+}
+
+void
+ServedPlatform::Configure(const PlatformVersion& aVersion,
+                          const PlatformLimits& aLimits)
+{
+  boost::asio::post(this->pool.First().context,
+                    [this, text = CatalogText(aLimits, aVersion)] {
+                      this->store.AppendKeyed("keyed.op", "config", text);
+                    });
+}
+
 void
 ServedPlatform::Stop()
 {
@@ -200,13 +226,15 @@
 ServedPlatform::RenewEntries(Endpoint aEngine)
 {
   for (int sequence = 1;; ++sequence) {
-    const json::object entry{
-      { "service", "plain" },     { "address", ToText(aEngine) },
-      { "zone", "zone-1" },       { "version", "v1" },
-      { "slots", kEngineSlots },  { "state", "ready" },
-      { "cold_remaining_ms", 0 }, { "born", 1 },
-      { "seq", sequence }
-    };
+    const json::object entry{ { "service", "plain" },
+                              { "address", ToText(aEngine) },
+                              { "zone", "zone-1" },
+                              { "version", "v1" },
+                              { "slots", this->limits.slots },
+                              { "state", "ready" },
+                              { "cold_remaining_ms", 0 },
+                              { "born", 1 },
+                              { "seq", sequence } };
     for (std::size_t i = 1; i <= this->limits.engines; ++i) {
       this->store.AppendKeyed(
         "keyed.servers", "engine-" + std::to_string(i), json::serialize(entry));
@@ -219,6 +247,10 @@
 ServedPlatform::HandleEngine(const HttpRequest& aRequest,
                              HttpResponder& aResponder)
 {
+  {
+    const std::lock_guard<std::mutex> lock(this->attemptsMutex);
+    this->engineAttempts.insert(HeaderOf(aRequest, "Attempt-Id"));
+  }
   ++this->engineRequests;
   if (aRequest.target() == "/book/hang") {
     co_await Sleep(kHangTime);
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -14,6 +14,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -30,7 +32,12 @@
   Millis headerTimeout{ 120000 }; // so that clients that wait stay
   Millis idleTimeout{ 120000 };
   Millis routeTimeout{ 5000 };
-  std::size_t engines = 1;        // listed, all at one address
+  std::size_t engines = 1;     // listed, all at one address
+  int slots = 6;               // of each
+  Millis latencyTarget{ 200 }; // of the routes
+  /** Whether the service's requests wait in a queue while its engines are full.
+   */
+  bool hasQueue = false;
   std::size_t responseBytes = 64; // of the engine's responses
   std::size_t eventsPerStream = 5;
   Millis eventInterval{ 0 };
@@ -39,6 +46,14 @@
   std::vector<std::pair<std::string, std::string>> otherEntries = {};
 };
 
+/** A version of the configuration. */
+struct PlatformVersion
+{
+  int number = 1;
+  std::string key = "key-one"; // the only one
+  std::string removedRoute;
+};
+
 /** Thread safety: none; belongs to the test's thread. */
 class ServedPlatform
 {
@@ -72,6 +87,13 @@
     return this->engineRequests;
   }
 
+  /** Whether the engine has received a request with this id. */
+  [[nodiscard]] bool HasEngineReceived(const std::string& aAttempt) const;
+  /** Writes another version of the configuration to the store.
+   * \param aLimits those that it states: of bodies, times and routes */
+  void Configure(const PlatformVersion& aVersion,
+                 const PlatformLimits& aLimits);
+
   /** From now on the store's responses have no end. */
   void MakeStoreEndless() { this->store.endless = true; }
 
@@ -100,6 +122,8 @@
                         HttpResponder& aResponder);
 
   std::atomic<std::size_t> engineRequests{ 0 };
+  mutable std::mutex attemptsMutex;
+  std::set<std::string> engineAttempts; // guarded by attemptsMutex
   WorkerPool pool{ 1 };
   standin::PlatformStore store;
   standin::PlatformCloud cloud;
