Answer what a client sent behind a running request

Seen: of two requests that are sent together on a kept connection, of which the first still runs 2.8 s after SIGTERM, the second got no answer, 5 of 5 on two rows, though the process had read it whole and lived on for seconds; no response had announced the close.

Cause: a server that closes left the connection after the response in progress, without a look at what had come behind it. The process also ended as soon as the handlers were done.

Change: a connection with further input is served on. Its next response announces the close.

Not taken: to read on until the client closes. What comes after an announced close is the client's to send again.

--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
 
 namespace toucanshed {
 
@@ -80,6 +81,15 @@
   return response;
 }
 
+/** Whether the client has sent more than the requests that were handled. */
+bool
+HasInput(ClientConnection& aConnection)
+{
+  boost::system::error_code ignored;
+  return aConnection.buffer.size() > 0 ||
+         aConnection.stream.socket().available(ignored) > 0;
+}
+
 /** Discards what a client still sends, for a short time. */
 Task<void>
 DiscardInput(ClientConnection& aConnection)
@@ -199,7 +209,13 @@
                             std::unique_ptr<ClientConnection> aConnection)
 {
   bool keepOpen = true;
-  while (keepOpen && !this->closing) {
+  // What was sent behind a request whose response has not announced the close
+  // is served too.
+  while (keepOpen && (!this->closing || HasInput(*aConnection))) {
+    std::optional<ScopedCount> counted;
+    if (this->closing) {
+      counted.emplace(this->inProgress);
+    }
     keepOpen = co_await this->ServeRequest(aWorker, *aConnection);
     RequestReader::Release(*aConnection);
     keepOpen = keepOpen && !aConnection->place->IsClosing();
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -307,7 +307,7 @@
   this->state.outOfRotation = true;
   this->callers.Close();
   this->relays.Close();
-  while (this->state.inProgress > 0 && ServingState::Now() < deadline) {
+  while (this->HasUnanswered() && ServingState::Now() < deadline) {
     co_await Sleep(kStopPollInterval);
   }
   const std::size_t cut = this->state.inProgress;
@@ -320,6 +320,12 @@
   this->state.pool.Stop();
 }
 
+bool
+ServingDaemon::HasUnanswered() const
+{
+  return this->state.inProgress > 0 || this->callers.InProgress() > 0;
+}
+
 Task<void>
 ServingDaemon::EndRunning()
 {
@@ -327,7 +333,7 @@
     call->Abort(AbortReason::eProcessEnds);
   }
   const TimePoint end = ServingState::Now() + kLastAnswersTime;
-  while (this->state.inProgress > 0 && ServingState::Now() < end) {
+  while (this->HasUnanswered() && ServingState::Now() < end) {
     co_await Sleep(kStopPollInterval);
   }
 }
--- a/src/serve/ServingDaemon.h
+++ b/src/serve/ServingDaemon.h
@@ -58,6 +58,9 @@
   Task<void> StopOnSignal();
   Task<void> ReloadOnSignal();
   Task<void> StopGracefully();
+  /** Whether callers still wait for an answer, or for one to what they have
+   * sent behind another request. */
+  [[nodiscard]] bool HasUnanswered() const;
   /** Ends the requests in progress, so that each caller gets an answer. */
   Task<void> EndRunning();
   /** Writes the log in batches and reports what is measured. */
--- a/test/clients/PlannedWorkTest.cpp
+++ b/test/clients/PlannedWorkTest.cpp
@@ -300,6 +300,30 @@
   CHECK(running.Check() == running.Count());
 }
 
+// Guards against closing a connection whose client has sent a request behind
+// one that outlasts the time after which connections are closed.
+TEST_CASE("a request behind another one is answered in a planned stop")
+{
+  constexpr milliseconds kApart{ 200 };
+  const ServedPlatform platform(LongStreams());
+  CallerConnection together(platform.callers);
+  CallerConnection apart(platform.callers);
+  together.Send(RequestTo("/look/before-4500", kKeep) +
+                RequestTo("/look/1", kKeep));
+  apart.Send(RequestTo("/look/before-4500", kKeep));
+  std::this_thread::sleep_for(kApart);
+  apart.Send(RequestTo("/look/1", kKeep));
+  std::this_thread::sleep_for(kUntilWork);
+  platform.daemon->Terminate();
+  for (CallerConnection* caller : { &together, &apart }) {
+    CHECK(IsWhole(caller->ReceiveOne()));
+    const std::string second = caller->ReceiveOne();
+    const bool answered = IsWhole(second) || IsRefused(second);
+    CAPTURE(second);
+    CHECK(answered);
+  }
+}
+
 // Guards against a process that ends before a caller has read its response.
 TEST_CASE("responses that are read late in a planned stop are complete")
 {
