Complete no plain call without a byte of its response

The product's plain calls had the same gap as the serving daemon: a 200 with neither length nor chunks whose connection ends right after its head completed the call with an empty response, and with an idempotency key that was recorded for good. It now ends unclear, as other broken responses do. Some bytes without framing still complete it when the connection is closed, not when it is reset.

--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -12,6 +12,9 @@
 constexpr Millis kFailureBackoff{ 1000 };
 constexpr Millis kLogTimeout{ 3000 };
 constexpr std::size_t kMaxTries = 4;
+constexpr unsigned kOk = 200;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
 
 /** How one attempt to send a call ended. */
@@ -54,6 +57,18 @@
   return callResult;
 }
 
+/** Whether nothing shows that the back end did not stop after the head: an
+ * empty response states its length. */
+bool
+LacksBody(const HttpResponse& aResponse)
+{
+  const unsigned status = aResponse.result_int();
+  const bool endsWithConnection =
+    !aResponse.has_content_length() && !aResponse.chunked();
+  return status >= kOk && status < kFirstRedirect && status != kNoContent &&
+         endsWithConnection && aResponse.body().empty();
+}
+
 Task<SendResult>
 CallBackend(DaemonState& aState,
             Worker& aWorker,
@@ -101,6 +116,10 @@
     result.reason = "the answer belongs to another attempt";
     co_return result;
   }
+  if (LacksBody(*response)) {
+    result.reason = "the connection ended before the body";
+    co_return result;
+  }
   result.status = SendStatus::eResponded;
   result.response = ClaimOutcome{ false,
                                   response->result_int(),
--- a/test/failure/CutCallTest.cpp
+++ b/test/failure/CutCallTest.cpp
@@ -1,9 +1,11 @@
-// Responses of other daemons, the store and the product's own peers whose
-// connection ends at any byte of them.
+// Responses to calls of daemons whose connection ends at any byte of them.
+#include "daemon/LogStreams.h"
+#include "daemon/PlainCall.h"
 #include "edge/EngineClient.h"
 #include "edge/InstanceList.h"
 #include "edge/LogClient.h"
 #include "serve/StoreClient.h"
+#include "test/DaemonHarness.h"
 #include "test/PlatformHarness.h"
 
 #include <catch2/catch.hpp>
@@ -13,8 +15,6 @@
 
 using standin::ConnectionEnd;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadGateway = 502;
 constexpr Millis kResetDelay{ 2 };
 
 std::string
@@ -203,89 +203,94 @@
 
 namespace {
 
-const std::string kRelayedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
-                                 "Response-Seal: seal-of-raw\r\n";
-
-/** The responses of a daemon to a relayed request. */
-std::vector<std::string>
-RelayedResponses(bool aStream)
+PlainRequest
+MakePlainCall(DaemonState& aState, const std::string& aKey)
 {
-  if (aStream) {
-    const std::string event = "id: 0\ndata: token-0\n\n";
-    return { kRelayedHead + "Content-Type: text/event-stream\r\n" +
-             "Transfer-Encoding: chunked\r\n\r\n15\r\n" + event +
-             "\r\n0\r\n\r\n" };
-  }
-  return { kRelayedHead + "Content-Length: 4\r\n\r\nbody",
-           "HTTP/1.1 503 Service Unavailable\r\n"
-           "Toucanshed-Relay-Outcome: refused\r\n"
-           "Toucanshed-Relay-Sends: 0\r\nContent-Length: 0\r\n\r\n" };
+  PlainRequest request;
+  request.id = RequestId{ aState.NewId("r") };
+  request.team = TeamId{ "crews" };
+  request.service = ServiceId{ "jobdesk" };
+  request.route.set_prefix("/bookings");
+  request.route.set_timeout_ms(1000);
+  request.method = http::verb::post;
+  request.target = "/bookings";
+  request.body = "{}";
+  request.idempotencyKey = aKey;
+  request.fingerprint = Fingerprint{ 7 };
+  request.deadline = aState.Now() + Millis(500);
+  return request;
 }
 
-/** Makes the daemon believe that it reaches no engine, and another one does. */
-void
-CutFromEngines(PlatformHarness& aHarness, const std::string& aPeerAddress)
+Task<void>
+CallServiceAtEachCut(DaemonHarness& aHarness,
+                     standin::RawEngine& aService,
+                     bool aOnce,
+                     std::string aBytes,
+                     std::vector<std::size_t>& aSuccesses)
 {
-  ServingState& state = *aHarness.state;
-  ReachCheck check;
-  check.controls.push_back(
-    ReachCheck::Control{ InstanceId{ "raw" }, ZoneId{ "zone-1" } });
-  state.engineReach.RecordCheck(check, ServingState::Now());
-  static std::uint64_t sSequence = 0;
-  serving::DaemonHeartbeat heartbeat;
-  heartbeat.set_id("daemon-2");
-  heartbeat.set_zone("zone-1");
-  heartbeat.set_life(1);
-  heartbeat.set_sequence(++sSequence);
-  heartbeat.set_address(aPeerAddress);
-  state.peers.ReceiveHeartbeat(heartbeat, ServingState::Now());
+  DaemonState& state = aHarness.state;
+  for (std::size_t cut = 0; cut <= aBytes.size(); ++cut) {
+    aService.response = aBytes.substr(0, cut);
+    const std::string key =
+      std::to_string(state.Now().ms / 1000) + "-" + state.NewId("k");
+    PlainRequest request = MakePlainCall(state, aOnce ? key : "");
+    Worker& worker = aHarness.FirstWorker();
+    PlainCallResult result;
+    if (aOnce) {
+      result = co_await RunAtMostOnce(state, worker, std::move(request));
+    } else {
+      result = co_await RunRetryable(state, worker, std::move(request));
+    }
+    if (result.result.outcome == RequestOutcome::eCompleted) {
+      aSuccesses.push_back(cut);
+    }
+  }
 }
 
-Task<void>
-RelayAtEachCut(PlatformHarness& aHarness,
-               std::string aPath,
-               std::string aBytes,
-               std::vector<CallerResponse>& aAnswers)
+/** The lengths of the parts of a response that a call took for whole. */
+std::vector<std::size_t>
+WholePartsOf(const std::string& aBytes, bool aOnce, ConnectionEnd aEnd)
 {
-  standin::RawEngine& peer = aHarness.FindRawEngine("raw");
-  const std::string address =
-    aHarness.state->backends.Find(InstanceId{ "raw" })->entry.address;
-  for (std::size_t cut = 0; cut < aBytes.size(); ++cut) {
-    peer.response = aBytes.substr(0, cut);
-    CutFromEngines(aHarness, address);
-    EarnRetries(*aHarness.state);
-    CallerMessage message;
-    message.path = aPath;
-    aAnswers.push_back(co_await aHarness.SendRequest(std::move(message)));
-  }
+  constexpr std::uint16_t kPort = 27160;
+  DaemonHarness harness(kPort);
+  const Endpoint endpoint(boost::asio::ip::address_v4::loopback(), kPort + 9);
+  standin::RawEngine service(harness.FirstWorker(), endpoint);
+  service.end = aEnd;
+  service.resetDelay = kResetDelay;
+  EngineReport report;
+  report.id = InstanceId{ "service-1" };
+  report.incarnation = "1";
+  report.address = ToText(endpoint);
+  report.service = ServiceId{ "jobdesk" };
+  report.version = VersionId{ "v1" };
+  report.slots = 8;
+  harness.state.router.WithLock(
+    [&](Router& aRouter) { aRouter.Upsert(report); });
+  StartLogStreams(harness.state);
+  std::vector<std::size_t> successes;
+  harness.Run(CallServiceAtEachCut(harness, service, aOnce, aBytes, successes));
+  return successes;
 }
 
 } // namespace
 
-// Guards against a 200 that looks whole, or a refusal, read from a part of the
-// response of a daemon that ends as it relays.
-TEST_CASE("a relayed response that is cut never looks whole")
+// Guards against a call recorded as completed with an empty or a short response
+// of a service that ended within it.
+TEST_CASE("a cut response of a plain service completes no call")
 {
-  const std::string path =
-    GENERATE("/book/1", "/look/1", "/chat/1", "/report/1");
+  const bool once = GENERATE(false, true);
   const auto end = GENERATE(ConnectionEnd::eClose, ConnectionEnd::eReset);
-  const bool isStream = path == "/chat/1" || path == "/report/1";
-  for (const std::string& bytes : RelayedResponses(isStream)) {
-    PlatformHarness harness(27140);
-    auto& peer = harness.AddRawEngine("raw", isStream ? "model" : "plain");
-    peer.end = end;
-    peer.resetDelay = kResetDelay;
-    std::vector<CallerResponse> answers;
-    harness.Run(RelayAtEachCut(harness, path, bytes, answers));
-    CHECK(peer.requests == answers.size());
-    for (std::size_t cut = 0; cut < answers.size(); ++cut) {
-      const CallerResponse& answer = answers[cut];
-      CAPTURE(path, bytes.substr(0, cut), answer.body);
-      const bool hasBegun = isStream && answer.status == kOk;
-      CHECK((hasBegun || answer.status == kBadGateway));
-      CHECK_FALSE((hasBegun && answer.complete));
-    }
+  const std::string body = "booked";
+  const std::string framed = WithLength(body);
+  CHECK(WholePartsOf(framed, once, end) ==
+        std::vector<std::size_t>{ framed.size() });
+  const std::string open = WithoutLength(body);
+  std::vector<std::size_t> expected; // with some of the body, it may be whole
+  for (std::size_t i = 1; end == ConnectionEnd::eClose && i <= body.size();
+       ++i) {
+    expected.push_back(open.size() - body.size() + i);
   }
+  CHECK(WholePartsOf(open, once, end) == expected);
 }
 
 } // namespace toucanshed::test
