--- a/standin/platform/RawEngine.cpp
+++ b/standin/platform/RawEngine.cpp
@@ -83,6 +83,7 @@
   const HttpRequest& request = parser.get();
   ++this->requests;
   this->attempts.push_back(HeaderOf(request, "Attempt-Id"));
+  this->bodies.push_back(request.body());
   constexpr std::string_view kPlaceholder = "ATTEMPT";
   std::string bytes = aResponse;
   const auto attempt = bytes.find(kPlaceholder);
--- a/standin/platform/RawEngine.h
+++ b/standin/platform/RawEngine.h
@@ -55,6 +55,7 @@
   bool stopsAfterResponse = false;
   std::size_t requests = 0;
   std::vector<std::string> attempts; // of the requests
+  std::vector<std::string> bodies;   // of the requests; needs readsBody
 
 private:
   Task<void> Accept();
