Refuse responses with a transfer coding that is not decoded

An engine's "Transfer-Encoding: gzip" (or "gzip, chunked") was read up to the end of its connection, or of its chunks, and passed on as a 200 with the coded bytes as the body, stated length and all; the field that says so concerns one connection and was left out. The caller got a body that isn't the engine's, looking whole.

A response with another coding than chunks now fails as one whose head can't be read. "identity" of older engines is no coding, and still passes.

--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -105,6 +106,18 @@
   return std::chrono::seconds(seconds);
 }
 
+/** Whether a body has a transfer coding other than chunks. It is not decoded
+ * here, and the field that names it is not passed on. */
+bool
+HasUnknownCoding(const http::fields& aFields)
+{
+  const std::string_view coding = aFields[http::field::transfer_encoding];
+  const bool isKnown = coding.empty() ||
+                       boost::beast::iequals(coding, "chunked") ||
+                       boost::beast::iequals(coding, "identity");
+  return !isKnown || aFields.count(http::field::transfer_encoding) > 1;
+}
+
 } // namespace
 
 void
@@ -219,6 +232,11 @@
     if (!isStatus || status == kSwitchingProtocols) {
       break; // no response, or one that was not requested
     }
+    if (status >= kFirstFinalStatus && HasUnknownCoding(this->Headers())) {
+      co_return this->FailCall(
+        CallPhase::eHead,
+        http::make_error_code(http::error::bad_transfer_encoding));
+    }
     if (status >= kFirstFinalStatus) {
       co_return std::nullopt;
     }
--- a/test/failure/CutResponseTest.cpp
+++ b/test/failure/CutResponseTest.cpp
@@ -361,6 +361,8 @@
     { HeadWith("Content-Length: 99999999999999999999\r\n", "body") },
     { HeadWith("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", chunks) },
     { HeadWith("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", chunks) },
+    { HeadWith("Transfer-Encoding: gzip\r\n", "body") },
+    { HeadWith("Transfer-Encoding: gzip, chunked\r\n", chunks) },
     { HeadWith("Transfer-Encoding: chunked\r\n", "body") },
     { HeadWith("Transfer-Encoding: chunked\r\n", "ffffffffffffffffff\r\nb") },
     { cutFields + "\r\n" },
