--- a/standin/platform/RawEngine.h
+++ b/standin/platform/RawEngine.h
@@ -56,6 +56,7 @@
   bool fillsQueueAfterResponse = false; // it accepts no connection any more
   std::size_t requests = 0;
   std::vector<std::string> attempts; // of the requests
+  std::vector<std::string> bodies;   // of the requests; needs readsBody
 
 private:
   Task<void> Accept();
--- a/test/failure/CutResponseTest.cpp
+++ b/test/failure/CutResponseTest.cpp
@@ -12,7 +12,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadGateway = 502;
 /** For the reset to follow the bytes; the daemon reads them at once. */
-constexpr Millis kResetDelay{ 2 };
+constexpr Millis kResetDelay{ 1 };
 /** Requests until the engine whose responses are cut gets one. */
 constexpr int kMaxTries = 20;
 
@@ -361,6 +361,8 @@
     { HeadWith("Content-Length: 99999999999999999999\r\n", "body") },
     { HeadWith("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", chunks) },
     { HeadWith("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", chunks) },
+    { HeadWith("Transfer-Encoding: gzip\r\n", "body") },
+    { HeadWith("Transfer-Encoding: gzip, chunked\r\n", chunks) },
     { HeadWith("Transfer-Encoding: chunked\r\n", "body") },
     { HeadWith("Transfer-Encoding: chunked\r\n", "ffffffffffffffffff\r\nb") },
     { cutFields + "\r\n" },
