Demo: a fault for engines that pause within each run

No fault of the demo had an engine that falls silent and then goes on: `silent` stalls connections for good.

--- a/tools/lib/faults.py
+++ b/tools/lib/faults.py
@@ -35,6 +35,13 @@
             engine.fault(silent=1)
 
 
+def pausing(cluster, seconds):
+    """All engines pause for 2.5 s in each run."""
+    for engine in cluster.engines:
+        engine.fault(pause_ms=2500)
+    time.sleep(seconds)
+
+
 def crossed(cluster, seconds):
     """Late and doubled events of other attempts; service responses that bear
     the ID of another attempt."""
@@ -211,6 +218,7 @@
     "crash": crash,
     "drop-answer": drop_answer,
     "silent": silent,
+    "pausing": pausing,
     "crossed": crossed,
     "cut-stream": cut_stream,
     "log-outage": log_outage,
