--- a/test/failure/CutCallTest.cpp
+++ b/test/failure/CutCallTest.cpp
@@ -77,11 +77,14 @@
   }
 }
 
+/** \param aPort first of the ten ports that the test may use */
 void
-CheckOnlyWhole(const Call& aCall, const std::string& aBytes)
+CheckOnlyWhole(std::uint16_t aPort,
+               const Call& aCall,
+               const std::string& aBytes)
 {
   for (const auto end : { ConnectionEnd::eClose, ConnectionEnd::eReset }) {
-    PlatformHarness harness(27100);
+    PlatformHarness harness(aPort);
     auto& peer = harness.AddRawEngine("raw", "plain");
     peer.end = end;
     peer.resetDelay = kResetDelay;
@@ -186,21 +189,24 @@
 // list of engines with none in it, read from a part of a response.
 TEST_CASE("a response of the store that is cut is none")
 {
+  constexpr std::uint16_t kPort = 27100;
   for (const auto& wrap : { WithLength, WithoutLength }) {
-    CheckOnlyWhole(AppendRecord, wrap(R"({"offset":7,"end":8})"));
-    CheckOnlyWhole(ReadList, wrap(kListPage));
+    CheckOnlyWhole(kPort, AppendRecord, wrap(R"({"offset":7,"end":8})"));
+    CheckOnlyWhole(kPort, ReadList, wrap(kListPage));
   }
 }
 
 // Guards against an empty list or configuration read from a part of a response.
 TEST_CASE("a cut response to the product's own calls is none")
 {
+  constexpr std::uint16_t kPort = 27220;
   for (const auto& wrap : { WithLength, WithoutLength }) {
-    CheckOnlyWhole(ReadInstances, wrap(R"([{"role":"backend","id":"e1"}])"));
-    CheckOnlyWhole(ReadReport, wrap(R"({"slots":4,"running":1})"));
-    CheckOnlyWhole(ReadLog, wrap(LogPageText()));
+    CheckOnlyWhole(
+      kPort, ReadInstances, wrap(R"([{"role":"backend","id":"e1"}])"));
+    CheckOnlyWhole(kPort, ReadReport, wrap(R"({"slots":4,"running":1})"));
+    CheckOnlyWhole(kPort, ReadLog, wrap(LogPageText()));
   }
-  CheckOnlyWhole(AppendToLog, WithLength(R"({"offset":1})"));
+  CheckOnlyWhole(kPort, AppendToLog, WithLength(R"({"offset":1})"));
 }
 
 // Guards against a stream that counts as ended without its last event.
--- a/test/failure/CutResponseTest.cpp
+++ b/test/failure/CutResponseTest.cpp
@@ -303,7 +303,7 @@
 {
   std::string bytes;
   unsigned status = kBadGateway;
-  std::string body; // of those that are whole
+  std::string body = {}; // of those that are whole
 };
 
 std::vector<OddResponse>
@@ -394,12 +394,13 @@
   aNext = co_await aHarness.SendRequest(std::move(message));
 }
 
+/** \param aPort first of the ten ports that the test may use */
 void
-CheckOdd(const std::vector<OddResponse>& aResponses)
+CheckOdd(std::uint16_t aPort, const std::vector<OddResponse>& aResponses)
 {
   for (const OddResponse& odd : aResponses) {
     for (const char* path : { "/book/1", "/look/1" }) {
-      PlatformHarness harness(27060);
+      PlatformHarness harness(aPort);
       harness.AddRawEngine("raw", "plain");
       CallerResponse answer;
       CallerResponse next;
@@ -423,14 +424,14 @@
 // follow interim responses being taken for cut.
 TEST_CASE("a whole response with an unusual head is passed on")
 {
-  CheckOdd(WholeOddResponses());
+  CheckOdd(27060, WholeOddResponses());
 }
 
 // Guards against a head that can't be read, or has no response after it, being
 // passed on as a 200 with what is left.
 TEST_CASE("a response whose head is broken is not passed on")
 {
-  CheckOdd(BrokenOddResponses());
+  CheckOdd(27240, BrokenOddResponses());
 }
 
 // Guards against bytes after a whole response being read as the next one.
