--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,11 @@
-"""A request that crashes each engine that runs it, 0.6 s after it began."""
+"""A request that crashes each engine that runs it, 0.4 s after it began."""
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from platform_2 import *  # noqa: E402,F403
 
-CRASH_AFTER_S = 0.6  # of the first event
+CRASH_AFTER_S = 0.4  # of the first event
 BACK_AFTER_S = 2.0
 REPEATS = 20
 CONTACT_S = 3.0
