Review case 7: wait until the machines are in touch

Cause: the rule counts machines whose processes have run for contact_ms; the script sent its requests a second after the start.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,6 +8,7 @@
 
 MAX_HEADER_BYTES = 131072
 PARTS = 6500 if TROUBLE else 4000  # of the prompt: 71 KB and 44 KB of Prefix-Hash
+CONTACT_S = 3.0
 WAITING = 6  # bookings of other clients, each on a kept connection
 
 
@@ -20,6 +21,7 @@
         await rig.daemon(number)
     for daemon in rig.daemons:
         await daemon.await_ready()
+    await asyncio.sleep(CONTACT_S + 0.3)  # the machines are in touch
 
     async def booking(daemon, number):
         reader, writer = await asyncio.open_connection(daemon.ip, daemon.front)
