--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -2,6 +2,7 @@
 daemon processes, on loopback addresses and the real clock."""
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import shutil
@@ -26,6 +27,12 @@
     return time.monotonic()
 
 
+def end_with_parent():
+    """The kernel kills the process when the script ends, however that ends."""
+    set_parent_death_signal = 1
+    ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
+
+
 def free_port(host="127.0.0.1"):
     with socket.socket() as s:
         s.bind((host, 0))
@@ -350,7 +357,8 @@
             file.write(self.settings())
         self.log = open(self.file + ".log", "ab")
         self.process = subprocess.Popen([DAEMON, "--settings", self.file], cwd=ROOT,
-                                        stdout=self.log, stderr=self.log, stdin=subprocess.DEVNULL)
+                                        stdout=self.log, stderr=self.log, stdin=subprocess.DEVNULL,
+                                        preexec_fn=end_with_parent)
         return self
 
     async def await_ready(self, limit=10):
@@ -496,6 +504,9 @@
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         if not os.access(DAEMON, os.X_OK):
             raise CannotRun("the daemon is not built: " + DAEMON)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         rig = Rig(record)
         try:
             await rig.start_platform()
@@ -504,7 +515,7 @@
             await rig.close()
     try:
         held = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record("cannot run:", repr(error))
         print("cannot run:", repr(error))
         sys.exit(2)
