A rollout ends by the store's status, and no order gets two ends

The other daemons rolled it back; the holder woke and completed it. The platform stopped the old engines, the holder sent everything to the bad version, the others refused every request, for good.

Cause: the holder decided on evidence of before its pause; its record was conditional on the duty records, of which another daemon's rollback is none; the status, at which the platform acts, was appended without a condition; and each daemon kept the end of an order that it heard first.

Change: every status is appended behind those that its writer has read, on the store's own condition. A daemon that finds a version bad states that itself, at once; a recorded decision is what its holder means to state. Of two ends of an order the completion counts in any order of arrival, as it is known only when it is stated. A holder decides only while it receives from most daemons within three heartbeats, and two after a pause; a version that was seen to be bad is rolled back all the same, and without that news any is 30 s after its deadline.

Why it works: the store decides between two ends, so none can be written that another daemon has ruled out before; and all that is left is a join.

--- a/src/coord/DutyLog.cpp
+++ b/src/coord/DutyLog.cpp
@@ -55,10 +55,11 @@
   }
   const bool isValid = this->claim->fence.value == aRecord.fence();
   if (isValid && aRecord.has_move()) {
-    // Only the first decision about an order is valid.
+    // The latest decision about an order is valid: a later holder may know that
+    // the version was rolled back.
     serving::RolloutDecision& latest =
       this->rolloutDecisions[aRecord.move().service()];
-    if (aRecord.move().order() > latest.order() || latest.service().empty()) {
+    if (aRecord.move().order() >= latest.order()) {
       latest = aRecord.move();
     }
   }
--- a/src/coord/LimitShares.cpp
+++ b/src/coord/LimitShares.cpp
@@ -46,6 +46,7 @@
 LimitShares::RecordPause(TimePoint aNow)
 {
   this->started = aNow;
+  this->resumed = aNow;
   for (auto& [id, peer] : this->peers) {
     peer.hasHeartbeat = false;
   }
@@ -58,15 +59,14 @@
 }
 
 bool
-LimitShares::ReceivesFromMajority(TimePoint aNow) const
+LimitShares::ReceivesFromMajority(TimePoint aNow, Millis aWithin) const
 {
   if (!this->listRead) {
     return false;
   }
   std::size_t reachable = 1;
   for (const auto& [id, peer] : this->peers) {
-    reachable +=
-      peer.hasHeartbeat && aNow - peer.lastSeenAt <= this->peerTimeout ? 1 : 0;
+    reachable += peer.hasHeartbeat && aNow - peer.lastSeenAt <= aWithin ? 1 : 0;
   }
   return 2 * reachable > this->peers.size() + 1;
 }
--- a/src/coord/LimitShares.h
+++ b/src/coord/LimitShares.h
@@ -52,7 +52,22 @@
 
   /** Whether this daemon receives heartbeats of more than half of all known
    * daemons, itself included. */
-  [[nodiscard]] bool ReceivesFromMajority(TimePoint aNow) const;
+  [[nodiscard]] bool ReceivesFromMajority(TimePoint aNow) const
+  {
+    return this->ReceivesFromMajority(aNow, this->peerTimeout);
+  }
+  /** The same by the heartbeats of the last aWithin. */
+  [[nodiscard]] bool ReceivesFromMajority(TimePoint aNow, Millis aWithin) const;
+  /** Whether this process resumed after a pause less than aWithin ago. */
+  [[nodiscard]] bool HasResumed(TimePoint aNow, Millis aWithin) const
+  {
+    return this->resumed && aNow - *this->resumed < aWithin;
+  }
+  /** The same by the time after which a daemon counts as unreachable. */
+  [[nodiscard]] bool HasResumed(TimePoint aNow) const
+  {
+    return this->HasResumed(aNow, this->peerTimeout);
+  }
   /** Whether this daemon may use its shares. */
   [[nodiscard]] bool CanUseShares(TimePoint aNow) const;
   /** Whether this daemon started or resumed so recently that others may not
@@ -113,6 +128,7 @@
   DaemonId self;
   std::uint64_t ownHash;
   TimePoint started; // or resumed after a pause
+  std::optional<TimePoint> resumed;
   Millis peerTimeout{ 1500 };
   bool listRead = false;
   std::map<DaemonId, Peer> peers;
--- a/src/coord/Rollouts.cpp
+++ b/src/coord/Rollouts.cpp
@@ -131,7 +131,10 @@
   }
   const auto [known, isNew] =
     this->ended.try_emplace({ aEnded.service, aEnded.target }, aEnded);
-  const bool isLater = known->second.order < aEnded.order;
+  const bool isLater = known->second.order < aEnded.order ||
+                       (known->second.order == aEnded.order &&
+                        known->second.phase == RolloutPhase::eRolledBack &&
+                        aEnded.phase == RolloutPhase::eCompleted);
   if (!isNew && !isLater) {
     return false;
   }
--- a/src/coord/Rollouts.h
+++ b/src/coord/Rollouts.h
@@ -175,8 +175,10 @@
   /** Applies what another daemon knows: the orders that a restored store lacks,
    * how they ended, and the identity that they had before. */
   RolloutNews Merge(const RolloutReport& aReport, TimePoint aNow);
-  /** Records how a rollout ended, here or elsewhere; the first end of an order
-   * counts. \return whether it is news. */
+  /** Records how a rollout ended, here or elsewhere. Of two ends of an order,
+   * completion counts, whichever is known first: it is known only when the
+   * store states it, and the platform then has stopped the old engines. \return
+   * whether it is news. */
   bool RecordEnd(const EndedRollout& aEnded);
 
   /** Updates whether the engines could serve the traffic; no effect on a
--- a/src/serve/DutyRollouts.cpp
+++ b/src/serve/DutyRollouts.cpp
@@ -1,53 +1,94 @@
 // Rollout decisions of DutyRunner, made while it holds the duties.
 #include "DutyRunner.h"
 
+#include "PeerMessenger.h"
 #include "RolloutMonitor.h"
+#include "RolloutStatuses.h"
 #include "ServingState.h"
-#include "StoreClient.h"
 
 namespace toucanshed {
 
+namespace {
+
+/** A holder that has had no heartbeat of most daemons for so many intervals may
+ * have been paused or cut off, and lacks what they have seen since. */
+constexpr int kMaxReportIntervals = 3;
+/** Within so many intervals all daemons have sent their evidence. */
+constexpr int kMinReportIntervals = 2;
+
+} // namespace
+
 Task<void>
 DutyRunner::DecideRollouts()
 {
   for (const Rollout& rollout : this->state.rollouts.All()) {
-    const Position order = rollout.order.position;
-    if (this->writtenStatuses.contains(order)) {
+    if (IsRolloutEndStated(this->state, rollout.order)) {
       continue;
     }
-    const auto decision =
-      this->dutyLog.RolloutDecisions().find(rollout.order.service.value);
-    const bool recorded = decision != this->dutyLog.RolloutDecisions().end() &&
-                          decision->second.order() == order.value;
+    const auto phase = this->DecideRollout(rollout);
+    if (!phase) {
+      co_await this->ReportDelayedRollout(rollout);
+      continue;
+    }
+    const bool recorded = co_await this->RecordDecision(rollout.order, *phase);
     if (!recorded) {
-      const auto phase = this->DecideRollout(rollout);
-      if (!phase) {
-        co_await this->ReportDelayedRollout(rollout);
-        continue;
-      }
-      serving::DutyRecord record;
-      record.mutable_move()->set_service(rollout.order.service.value);
-      record.mutable_move()->set_order(order.value);
-      record.mutable_move()->set_target(rollout.order.target.value);
-      record.mutable_move()->set_completed(*phase == RolloutPhase::eCompleted);
-      const bool appended = co_await this->AppendRecord(std::move(record));
-      if (!appended) {
-        co_return;
-      }
+      co_return;
     }
-    co_await this->WriteRolloutStatus(rollout);
+    co_await StateRolloutEnd(this->state, rollout.order, *phase);
   }
 }
 
+Task<bool>
+DutyRunner::RecordDecision(RolloutOrder aOrder, RolloutPhase aPhase)
+{
+  const bool completed = aPhase == RolloutPhase::eCompleted;
+  const auto known =
+    this->dutyLog.RolloutDecisions().find(aOrder.service.value);
+  const bool isRecorded = known != this->dutyLog.RolloutDecisions().end() &&
+                          known->second.order() == aOrder.position.value &&
+                          known->second.completed() == completed;
+  if (isRecorded) {
+    co_return co_await this->ConfirmClaim();
+  }
+  serving::DutyRecord record;
+  record.mutable_move()->set_service(aOrder.service.value);
+  record.mutable_move()->set_order(aOrder.position.value);
+  record.mutable_move()->set_target(aOrder.target.value);
+  record.mutable_move()->set_completed(completed);
+  co_return co_await this->AppendRecord(std::move(record));
+}
+
+bool
+DutyRunner::HasCurrentEvidence(TimePoint aNow) const
+{
+  const LimitShares& daemons = this->state.limitShares;
+  const Millis interval =
+    PeerMessenger::MeanInterval(this->state.DaemonCount());
+  // A heartbeat may be the first message after a pause, and its sender's
+  // evidence the last one before, which was discarded.
+  return daemons.ReceivesFromMajority(aNow, kMaxReportIntervals * interval) &&
+         !daemons.HasResumed(aNow, kMinReportIntervals * interval);
+}
+
 std::optional<RolloutPhase>
 DutyRunner::DecideRollout(const Rollout& aRollout)
 {
   if (aRollout.phase != RolloutPhase::eActive) {
     return aRollout.phase; // some daemon has rolled it back already
   }
+  this->state.CheckForPause();
+  const TimePoint now = ServingState::Now();
   const VersionVerdict verdict = EvaluateRollout(this->state, aRollout);
-  const auto phase =
-    this->state.rollouts.Decide(aRollout, verdict, ServingState::Now());
+  const bool isCurrent = this->HasCurrentEvidence(now);
+  const bool mayDecide =
+    isCurrent || verdict.bad || now >= aRollout.Deadline() + Rollouts::kMaxWait;
+  if (!mayDecide) {
+    return std::nullopt;
+  }
+  auto phase = this->state.rollouts.Decide(aRollout, verdict, now);
+  if (phase && !isCurrent) {
+    phase = RolloutPhase::eRolledBack;
+  }
   if (phase) {
     this->state.log.Emit(
       Event("move.decided")
@@ -81,37 +122,10 @@
             static_cast<std::int64_t>(readiness.requiredEngines))
       .With("conclusive", readiness.conclusive ? 1 : 0)
       .With("seen", verdict.requests));
-  const bool written =
-    co_await this->AppendRolloutStatus(aRollout.order, RolloutPhase::eActive);
+  const bool written = co_await StateRolloutDelay(this->state, aRollout.order);
   if (written) {
     this->reportedDelays.insert(aRollout.order.position);
   }
 }
 
-Task<bool>
-DutyRunner::AppendRolloutStatus(RolloutOrder aOrder, RolloutPhase aPhase)
-{
-  std::string record = this->state.wire.store.keyedRecord(
-    this->state.wire.records.rolloutStatusKey(aOrder),
-    this->state.wire.records.rolloutStatus(aOrder, aPhase));
-  const auto written =
-    co_await AppendToStore(this->state, StoreTopic::eStatus, std::move(record));
-  co_return written.has_value();
-}
-
-Task<void>
-DutyRunner::WriteRolloutStatus(Rollout aRollout)
-{
-  const RolloutOrder& order = aRollout.order;
-  const bool completed =
-    this->dutyLog.RolloutDecisions().at(order.service.value).completed();
-  const RolloutPhase phase =
-    completed ? RolloutPhase::eCompleted : RolloutPhase::eRolledBack;
-  const bool written = co_await this->AppendRolloutStatus(order, phase);
-  if (written) {
-    this->writtenStatuses.insert(order.position);
-    EndRollout(this->state, order, phase);
-  }
-}
-
 } // namespace toucanshed
--- a/src/serve/DutyRunner.cpp
+++ b/src/serve/DutyRunner.cpp
@@ -88,7 +88,6 @@
   }
   this->dutyLog.StartEra(era);
   this->logRead = false;
-  this->writtenStatuses.clear();
   this->reportedDelays.clear();
 }
 
--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -65,14 +65,17 @@
   void UpdatePlanner();
   Task<void> ScaleEngines();
   Task<void> DecideRollouts();
-  /** How a rollout ends, if it ends now. */
+  /** Whether most daemons' evidence arrives, and has since the last pause. */
+  [[nodiscard]] bool HasCurrentEvidence(TimePoint aNow) const;
+  /** How a rollout ends, if it ends now. Only a version that was seen to be bad
+   * is judged on reports that may be old. */
   std::optional<RolloutPhase> DecideRollout(const Rollout& aRollout);
   /** Reports to operators, once per rollout, that it is late because engines
    * are missing. */
   Task<void> ReportDelayedRollout(Rollout aRollout);
-  /** \return whether the store accepted it. */
-  Task<bool> AppendRolloutStatus(RolloutOrder aOrder, RolloutPhase aPhase);
-  Task<void> WriteRolloutStatus(Rollout aRollout);
+  /** Records how a rollout is to end, unless the latest record says so.
+   * \return whether it is recorded and this daemon holds the duties */
+  Task<bool> RecordDecision(RolloutOrder aOrder, RolloutPhase aPhase);
   /** Records the orders of one plan, then sends them; SendOrder handles each
    * response. */
   Task<void> RecordAndSendOrders(std::vector<GroupTarget> aOrders,
@@ -135,8 +138,6 @@
   TimePoint nextPlanAt;          // when orders are planned next
   TimePoint nextDemandAt;        // when the demand is recorded next
   std::map<ServiceId, RecentMax> peakDemand; // engines required
-  std::set<Position>
-    writtenStatuses; // positions of rollout orders with a written status
   std::set<Position>
     reportedDelays; // positions of rollout orders reported as delayed
   std::set<std::uint64_t>
--- a/src/serve/PeerReceive.cpp
+++ b/src/serve/PeerReceive.cpp
@@ -176,6 +176,7 @@
       this->state.rollouts.Merge(report, ServingState::Now());
     if (news.renamed) {
       this->state.evidence.Rename(*news.renamed, report.order.position);
+      this->state.statedRollouts.end.reset(); // its ends bear the old identity
     }
     if (news.started || news.ended) {
       this->state.log.Emit(Event("move.reported")
--- a/src/serve/RolloutMonitor.cpp
+++ b/src/serve/RolloutMonitor.cpp
@@ -1,8 +1,8 @@
 #include "RolloutMonitor.h"
 
 #include "EngineDemand.h"
+#include "RolloutStatuses.h"
 #include "ServingState.h"
-#include "StoreClient.h"
 #include "coord/RequiredEngines.h"
 #include "edge/Worker.h"
 
@@ -19,35 +19,6 @@
 constexpr Millis kPollInterval{ 200 };
 constexpr Millis kRetryInterval{ 500 };
 
-/** Applies the statuses in the store. \return whether the store responded. */
-Task<bool>
-ReadStatuses(ServingState& aState)
-{
-  const auto page = co_await ReadLatest(aState, StoreTopic::eStatus);
-  if (!page) {
-    co_return false;
-  }
-  for (const KeyedRecord& record : page->records) {
-    auto status = aState.wire.records.readRolloutStatus(*record.value);
-    if (!status) {
-      continue;
-    }
-    // A status of an earlier era names the order by the identity that it had.
-    // An order of the same target in the snapshot is taken to be that one.
-    const Rollout* rollout = aState.rollouts.Find(status->service);
-    const bool isEarlier = rollout != nullptr &&
-                           rollout->order.target == status->target &&
-                           Unpack(status->order.value).era <
-                             Unpack(rollout->order.position.value).era;
-    if (isEarlier) {
-      status->order = rollout->order.position;
-    }
-    aState.rollouts.RecordEnd(EndedRollout{
-      status->service, status->target, status->order, status->phase });
-  }
-  co_return true;
-}
-
 /** Reads the statuses after each snapshot that brought active rollouts. It runs
  * beside the evaluation, which must not wait for the store. */
 Task<void>
@@ -59,7 +30,7 @@
       co_await Sleep(kPollInterval);
       continue;
     }
-    const bool read = co_await ReadStatuses(aState);
+    const bool read = co_await ReadRolloutStatuses(aState);
     if (read) {
       aState.statusesReadFor = snapshots;
     } else {
@@ -183,6 +154,7 @@
                           .With("seen", verdict.requests)
                           .With("why", verdict.reason));
         EndRollout(aState, rollout.order, RolloutPhase::eRolledBack);
+        aState.pool.First().Spawn(StateRollback(aState, rollout.order));
       }
     }
   }
--- a/src/serve/ServingState.h
+++ b/src/serve/ServingState.h
@@ -33,6 +33,7 @@
 #include "coord/Rollouts.h"
 #include "coord/SendGate.h"
 #include "coord/SilentSends.h"
+#include "coord/StatedRollouts.h"
 #include "coord/StoreOutage.h"
 #include "coord/TeamQuotas.h"
 #include "coord/TopicFreshness.h"
@@ -172,6 +173,7 @@
    * have ended before; and how many of them the statuses were read for. */
   std::uint64_t orderSnapshots = 0;
   std::uint64_t statusesReadFor = 0;
+  StatedRollouts statedRollouts;
   ExposureBudget exposure;
   EvidenceTable evidence;
   PeerTable peers;
