A holder performs no duty on what it knew before a pause

Cause: only choices of back ends and messages asked for a pause.

Change: after a pause a holder performs no duty before it has heard from most daemons, or one peer timeout has passed, and reports no usage within one peer timeout. A holder that has just started is not held up.

Measured: "a holder that was frozen reports the usage of all daemons" failed before (a report of 1 request of 8) and passes. Engine orders have no test of their own.

--- a/src/serve/DutyRunner.h
+++ b/src/serve/DutyRunner.h
@@ -76,6 +76,9 @@
   /** Records how a rollout is to end, unless the latest record says so.
    * \return whether it is recorded and this daemon holds the duties */
   Task<bool> RecordDecision(RolloutOrder aOrder, RolloutPhase aPhase);
+  /** Whether a decision on the other daemons' reports would use those of before
+   * a pause of this process. */
+  [[nodiscard]] bool AwaitsReports() const;
   /** Records the orders of one plan, then sends them; SendOrder handles each
    * response. */
   Task<void> RecordAndSendOrders(std::vector<GroupTarget> aOrders,
--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -72,12 +72,19 @@
 Task<void>
 DutyRunner::PerformDuties()
 {
+  this->state.CheckForPause();
+  if (this->AwaitsReports()) {
+    co_return;
+  }
   // Calls to a slow cloud take seconds each. Orders are sent concurrently and
   // before reports: engines need seconds more to start, while a report has ten.
   if (this->state.settings.scalesEngines) {
     co_await this->ScaleEngines();
   }
-  if (this->state.settings.reportsUsage && this->HoldsDuties()) {
+  // Daemons that were not heard since a pause look as if they had ended.
+  const bool knowsLive =
+    !this->state.limitShares.HasResumed(ServingState::Now());
+  if (this->state.settings.reportsUsage && knowsLive && this->HoldsDuties()) {
     co_await this->eraStart.Learn();
     co_await this->ReportUsage();
   }
@@ -86,6 +93,14 @@
   }
 }
 
+bool
+DutyRunner::AwaitsReports() const
+{
+  const LimitShares& daemons = this->state.limitShares;
+  const TimePoint now = ServingState::Now();
+  return daemons.HasResumed(now) && !daemons.ReceivesFromMajority(now);
+}
+
 Task<void>
 DutyRunner::ReportUsage()
 {
--- a/test/failure/FrozenHolderTest.cpp
+++ b/test/failure/FrozenHolderTest.cpp
@@ -130,4 +130,51 @@
         RolloutPhase::eCompleted);
 }
 
+// Guards against a usage report without the counts of daemons that a holder has
+// not heard since it was frozen, and takes to have ended.
+TEST_CASE("a holder that was frozen reports the usage of all daemons")
+{
+  PlatformHarness harness(24740);
+  DutyRunner runner(*harness.state);
+  std::string expected;
+  harness.Run([](PlatformHarness& aHarness,
+                 DutyRunner& aRunner,
+                 std::string& aExpected) -> Task<void> {
+    bool heard = true;
+    ServingState& state = *aHarness.state;
+    state.pool.First().Spawn(aRunner.Run());
+    state.pool.First().Spawn(HearPeers(state, heard));
+    co_await Sleep(kClaimTime);
+    const std::uint64_t window = state.usage.WindowAt(state.ClusterTimeMs());
+    state.usage.Count(TeamId{ "team-one" }, state.ClusterTimeMs());
+    co_await Sleep(
+      Millis(state.usage.WindowEnd(window) + 200 - state.ClusterTimeMs()));
+    heard = false;
+    Freeze(Millis(2500));
+    co_await Sleep(Millis(400));
+    heard = true;
+    serving::UsageLedger ledger;
+    ledger.set_id("daemon-2");
+    ledger.set_life(1);
+    ledger.set_open_window(window + 4);
+    auto* entry = ledger.add_usage();
+    entry->set_window(window);
+    entry->set_team("team-one");
+    entry->set_count(7);
+    state.peers.ReceiveLedger(ledger, ServingState::Now());
+    ledger.clear_usage();
+    ledger.set_id("daemon-3");
+    state.peers.ReceiveLedger(ledger, ServingState::Now());
+    co_await Sleep(Millis(3000));
+    aExpected =
+      "{\"window\":" + std::to_string(window) + ",\"counts\":{\"team-one\":8}}";
+  }(harness, runner, expected));
+  std::set<std::string> bodies;
+  for (const auto& [window, ofWindow] : ReportsByWindow(harness.cloud)) {
+    bodies.insert(ofWindow.begin(), ofWindow.end());
+  }
+  INFO(expected);
+  CHECK(bodies.contains(expected));
+}
+
 } // namespace toucanshed::test
