An engine's failure is no promise that a request did not run

Cause: a response that was rightly read as one of a request that ran was passed on with whatever status it had, also with those that callers read as the system's promise.

Where the engine did not state it and the request may not be repeated, the caller gets a 502 of our own without the engine's seal; the send counts as a failure of its engine and its version, the request as one that ran. Requests that may be repeated get the engine's response unchanged, a stated refusal stays one, 421 needs no header, and a relaying daemon says "may have run".

Why it works: the promise is now given only by us before any send may have run, or by the engine itself.

Way not taken: the engine's body under another status with its seal (MIXED: "a failure bears an engine's Response-Seal and another status than that engine gave").

--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -182,8 +182,11 @@
                               const Placement& aPlacement);
   Task<SendOutcome> RelayStream(HttpExchange& aExchange,
                                 const Placement& aPlacement);
+  /** \param aIsFalsePromise the caller would take the status for a promise that
+   *   the request did not run, which nobody gave; it gets another one */
   Task<SendOutcome> RelayBuffered(HttpExchange& aExchange,
-                                  const Placement& aPlacement);
+                                  const Placement& aPlacement,
+                                  bool aIsFalsePromise);
   Task<bool> RelayEvents(HttpExchange& aExchange, const Placement& aPlacement);
   /** The current send's back end has sent data. */
   void RecordData(TimePoint aNow);
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -66,7 +66,10 @@
   if (aHead.isStream && aExchange.Status() == kOk) {
     co_return co_await this->RelayStream(aExchange, aPlacement);
   }
-  co_return co_await this->RelayBuffered(aExchange, aPlacement);
+  // The back end did not state that the request was not run.
+  const bool isFalsePromise =
+    aHead.promisesNotRun && !IsRetrySafe(this->request.route->kind);
+  co_return co_await this->RelayBuffered(aExchange, aPlacement, isFalsePromise);
 }
 
 void
@@ -376,7 +379,8 @@
 
 Task<SendOutcome>
 RequestForwarder::RelayBuffered(HttpExchange& aExchange,
-                                const Placement& aPlacement)
+                                const Placement& aPlacement,
+                                bool aIsFalsePromise)
 {
   if (this->responder.Started()) {
     // The rest of a stream was requested and a response of another kind came.
@@ -422,7 +426,7 @@
     co_return SendOutcome::eMayHaveRun;
   }
   this->RecordData(ServingState::Now());
-  const bool failed = status >= kServerError;
+  const bool failed = status >= kServerError || aIsFalsePromise;
   this->responseFailed = failed;
   if (failed) {
     this->state.backends.RecordFailure(aPlacement.backend, ServingState::Now());
@@ -434,6 +438,11 @@
     this->RecordSlotTime(aPlacement);
     this->RecordWritten();
   }
+  if (aIsFalsePromise) {
+    this->lastFailure =
+      "back end failed with " + std::to_string(status) + " and may have run it";
+    co_return SendOutcome::eMayHaveRun;
+  }
   const bool retry =
     failed && !this->request.relayed &&
     IsRetrySafe(this->request.route->kind) &&
--- a/src/serve/WireFormats.h
+++ b/src/serve/WireFormats.h
@@ -43,7 +43,10 @@
 {
   AttemptId attempt;
   bool notRun = false; // the back end states that it did not run the request
-  bool otherInstance = false;    // another back end has this address now
+  bool otherInstance = false; // another back end has this address now
+  /** Callers take the status for a promise that the request did not run,
+   * whether the back end states that or not. */
+  bool promisesNotRun = false;
   bool closesConnection = false; // the connection closes after this response
   bool isStream = false;
   /** The requests it accepts from all daemons together. */
