A response is evidence of no crash only as far as it came

Cause: 300 ms of a response stood for all of it. A later crash named no suspects, and those 300 ms acquitted all that the request consists of, so it cleared itself each time. Naming alone would not have helped.

Change: a response passes stages (0.3, 1, 2 ... 32 s, its whole end). A crash names its suspects at any age of the response; it is cleared only by a response that began later and passed the stage of twice that age, or ended whole. Daemons merge the latest start for each stage. The rest of a response that was resumed clears nothing: it says nothing of what comes before it. The chance of a false block counts the longer exposure; a trial lasts twice the age longer, and ends with the crash of its own request, not with one that was sent before. A daemon names at most 200 suspects of late crashes a second, as an engine that ends takes all that it writes with it.

Why it works: what a request does to its engine at some age it does before a response to it can pass that age, so it can't clear itself; sound ones do.

Ways not taken: a longer fixed moment (a crash later than that is the same fault); exact ages (a list that grows for each suspect and has to be sent); to suspect a request only after a second late crash (one more engine).

--- a/src/coord/CrashSuspectReports.cpp
+++ b/src/coord/CrashSuspectReports.cpp
@@ -23,17 +23,16 @@
   }
   Suspect& suspect = this->FindOrAdd(aReport.id, aNow);
   SuspectReport& own = suspect.report;
-  const bool knewPass = own.passedAt.ms != 0;
   const SuspectReport before = own;
-  if (aReport.passedAt >= own.passedAt && aReport.passedAt.ms != 0) {
-    own.passedAt = aReport.passedAt;
+  own.passes.Merge(aReport.passes);
+  if (own.passes == aReport.passes && own.passes.Any()) {
     this->cleared.erase(aReport.id); // the others know it too
   }
   for (const EngineCrash& crash : aReport.crashes) {
     this->AddCrash(suspect, crash, aNow);
   }
   const bool isCurrent = !own.crashes.empty() && !aReport.crashes.empty() &&
-                         aReport.crashes.back().at > own.passedAt;
+                         !suspect.IsCleared(aReport.crashes.back());
   if (aReport.blocked && isCurrent) {
     if (!own.blocked) {
       this->changes.push_back(
@@ -47,13 +46,20 @@
   }
   this->Settle(suspect, aNow);
   const bool changed = before.crashes != own.crashes ||
-                       before.passedAt != own.passedAt ||
+                       before.passes != own.passes ||
                        before.blocked != own.blocked;
   if (changed) {
     suspect.changedAt = aNow;
   }
-  const bool informs =
-    knewPass && aReport.passedAt.ms == 0 && !aReport.crashes.empty();
+  const bool knowsMore =
+    (before.passes.Any() && !aReport.passes.Any()) ||
+    std::any_of(aReport.crashes.begin(),
+                aReport.crashes.end(),
+                [&](const EngineCrash& aCrash) {
+                  return aCrash.at <=
+                         before.passes.at.at(StageBeyond(aCrash.age));
+                });
+  const bool informs = knowsMore && !aReport.crashes.empty();
   if (informs) {
     this->cleared.insert(aReport.id);
   }
--- a/src/coord/CrashSuspects.cpp
+++ b/src/coord/CrashSuspects.cpp
@@ -9,12 +9,17 @@
 
 /** Crashes of one suspect that are remembered. */
 constexpr std::size_t kMaxRemembered = 16;
-/** Sections of one generation of passes, 24 bytes each. */
+/** Sections of one generation of passes, about 100 bytes each. */
 constexpr std::size_t kMaxPasses = 2000;
 /** The rate at which back ends crash is that of this time. */
 constexpr Millis kRateWindow{ 60000 };
-/** Time from the send to kWriteTime after the start of a response. */
+/** Time from the send to the end of the first stage of a response. */
 constexpr Millis kExposedTime{ 1000 };
+/** Within this time kMaxLateSuspects may be named. */
+constexpr Millis kLateWindow{ 1000 };
+
+/** The daemons' estimates of cluster time differ by less than this. */
+constexpr Millis kMaxClockSkew{ 50 };
 
 /** Crashes one after the other: the request of each was sent after the one
  * before. Precondition: they are in the order of their times. */
@@ -55,8 +60,30 @@
 bool
 CrashSuspects::Suspect::PassedLately() const
 {
-  return this->report.passedAt.ms != 0 &&
-         this->LastCrash() - this->report.passedAt < kPassValidity;
+  if (this->report.crashes.empty()) {
+    return false;
+  }
+  const std::size_t stage = StageBeyond(this->report.crashes.back().age);
+  const TimePoint passed = this->report.passes.at.at(stage);
+  const Millis validity =
+    kPassValidity + (stage > 0 ? kStageTimes.at(stage) : Millis(0));
+  return passed.ms != 0 && this->LastCrash() - passed < validity;
+}
+
+bool
+CrashSuspects::Suspect::IsCleared(const EngineCrash& aCrash) const
+{
+  return aCrash.at <= this->report.passes.at.at(StageBeyond(aCrash.age));
+}
+
+Millis
+CrashSuspects::Suspect::LargestAge() const
+{
+  Millis largest{ 0 };
+  for (const EngineCrash& crash : this->report.crashes) {
+    largest = std::max(largest, crash.age);
+  }
+  return largest;
 }
 
 bool
@@ -93,7 +120,7 @@
   for (const auto* generation : { &this->passes, &this->olderPasses }) {
     const auto pass = generation->find(aId);
     if (pass != generation->end()) {
-      suspect.report.passedAt = std::max(suspect.report.passedAt, pass->second);
+      suspect.report.passes.Merge(pass->second);
     }
   }
   return this->suspects.emplace(aId, std::move(suspect)).first->second;
@@ -117,10 +144,11 @@
 }
 
 void
-CrashSuspects::RememberPass(SuspectId aId, TimePoint aStarted)
+CrashSuspects::RememberPass(SuspectId aId,
+                            TimePoint aStarted,
+                            std::size_t aStages)
 {
-  TimePoint& known = this->passes[aId];
-  known = std::max(known, aStarted);
+  this->passes[aId].Record(aStarted, aStages);
   if (this->passes.size() > kMaxPasses) {
     this->olderPasses = std::move(this->passes);
     this->passes.clear();
@@ -130,21 +158,25 @@
 void
 CrashSuspects::RecordPass(const std::vector<SuspectId>& aSuspects,
                           TimePoint aStarted,
-                          TimePoint aNow)
+                          TimePoint aNow,
+                          bool aWhole)
 {
+  const std::size_t stages = StagesPassed(aNow - aStarted, aWhole);
+  if (stages == 0) {
+    return;
+  }
   for (const SuspectId id : aSuspects) {
-    this->RememberPass(id, aStarted);
+    this->RememberPass(id, aStarted, stages);
     const auto found = this->suspects.find(id);
     if (found == this->suspects.end()) {
       continue;
     }
     Suspect& suspect = found->second;
-    const bool isNews = !suspect.report.crashes.empty() &&
-                        (aStarted > suspect.report.crashes.front().at ||
-                         suspect.report.passedAt.ms == 0);
-    suspect.report.passedAt = std::max(suspect.report.passedAt, aStarted);
+    const std::size_t before = suspect.report.crashes.size();
+    const bool isFirst = before > 0 && !suspect.report.passes.Any();
+    suspect.report.passes.Record(aStarted, stages);
     this->Settle(suspect, aNow);
-    if (isNews) {
+    if (isFirst || suspect.report.crashes.size() < before) {
       suspect.changedAt = aNow;
       this->cleared.insert(id);
     }
@@ -157,6 +189,10 @@
                            TimePoint aNow)
 {
   this->ends.emplace(aCrash.engine, aCrash.at);
+  const bool isLate = aCrash.age >= kWriteTime;
+  if (isLate && !this->MayNameLate(aSuspects.size(), aNow)) {
+    return;
+  }
   for (const SuspectId id : aSuspects) {
     Suspect& suspect = this->FindOrAdd(id, aNow);
     this->AddCrash(suspect, aCrash, aNow);
@@ -169,6 +205,17 @@
   }
 }
 
+bool
+CrashSuspects::MayNameLate(std::size_t aSuspects, TimePoint aNow)
+{
+  if (aNow - this->lateSince >= kLateWindow) {
+    this->lateSince = aNow;
+    this->lateSuspects = 0;
+  }
+  this->lateSuspects += aSuspects;
+  return this->lateSuspects <= kMaxLateSuspects;
+}
+
 void
 CrashSuspects::AddCrash(Suspect& aSuspect,
                         const EngineCrash& aCrash,
@@ -177,7 +224,7 @@
   const auto end = this->ends.emplace(aCrash.engine, aCrash.at).first;
   end->second = std::min(end->second, aCrash.at);
   std::vector<EngineCrash>& crashes = aSuspect.report.crashes;
-  const bool counts = aCrash.at > aSuspect.report.passedAt &&
+  const bool counts = !aSuspect.IsCleared(aCrash) &&
                       aNow - aCrash.at < std::max(kCrashRetention, kBlockTime);
   const auto known = std::find_if(
     crashes.begin(), crashes.end(), [&](const EngineCrash& aKnown) {
@@ -191,9 +238,12 @@
     // closest to the end of the back end.
     known->at = std::min(known->at, aCrash.at);
     known->sentAt = std::max(known->sentAt, aCrash.sentAt);
+    known->age = std::max(known->age, aCrash.age);
   } else {
     crashes.push_back(aCrash);
-    aSuspect.trialUntil = TimePoint{}; // the result of the trial
+    // One that was sent before the trial is not its result.
+    const bool isResult = aCrash.sentAt + kMaxClockSkew >= aSuspect.trialSince;
+    aSuspect.trialUntil = isResult ? TimePoint{} : aSuspect.trialUntil;
   }
   std::sort(crashes.begin(), crashes.end(), [](auto& aLeft, auto& aRight) {
     return aLeft.at < aRight.at;
@@ -219,8 +269,11 @@
   const double time =
     static_cast<double>(kRateWindow.count()) *
     static_cast<double>(std::max<std::size_t>(1, this->backends()));
-  const double chance = static_cast<double>(others) *
-                        static_cast<double>(kExposedTime.count()) / time;
+  const std::size_t stage = StageBeyond(aSuspect.LargestAge());
+  const Millis exposed =
+    kExposedTime + (stage > 0 ? kStageTimes.at(stage) : Millis(0));
+  const double chance =
+    static_cast<double>(others) * static_cast<double>(exposed.count()) / time;
   double expected = static_cast<double>(this->suspects.size());
   std::size_t needed = 1;
   while (needed < kMaxCrashes &&
@@ -236,7 +289,7 @@
 {
   SuspectReport& report = aSuspect.report;
   std::erase_if(report.crashes, [&](const EngineCrash& aCrash) {
-    return aCrash.at <= report.passedAt;
+    return aSuspect.IsCleared(aCrash);
   });
   if (report.crashes.empty()) {
     aSuspect.trialUntil = TimePoint{};
@@ -272,8 +325,7 @@
     return CrashSuspicion::eClear;
   }
   const std::size_t inRow = CountInRow(aSuspect.report.crashes);
-  const bool hasPassed = aSuspect.report.passedAt.ms != 0;
-  const std::size_t tolerated = hasPassed ? 1 : 0;
+  const std::size_t tolerated = aSuspect.report.passes.Any() ? 1 : 0;
   return inRow > tolerated ? CrashSuspicion::eSerialized
                            : CrashSuspicion::eClear;
 }
@@ -306,7 +358,7 @@
 CrashSuspects::HasPassed(SuspectId aSuspect) const
 {
   const Suspect* suspect = this->Find(aSuspect);
-  const bool known = suspect != nullptr && suspect->report.passedAt.ms != 0;
+  const bool known = suspect != nullptr && suspect->report.passes.Any();
   return known || this->passes.contains(aSuspect) ||
          this->olderPasses.contains(aSuspect);
 }
@@ -365,7 +417,8 @@
   if (aNow < suspect.trialUntil) {
     return { false, std::min(kTrialRetry, suspect.trialUntil - aNow) };
   }
-  suspect.trialUntil = aNow + kTrialTime;
+  suspect.trialSince = aNow;
+  suspect.trialUntil = aNow + kTrialTime + 2 * suspect.LargestAge();
   return { true, Millis(0) };
 }
 
--- a/src/coord/CrashSuspects.h
+++ b/src/coord/CrashSuspects.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ResponseStages.h"
 #include "base/StorePosition.h"
 #include "base/Types.h"
 
@@ -31,12 +32,13 @@
   eBlocked,    // not at all
 };
 
-/** A back end ended just as it began to write a response. */
+/** A back end ended before it had written a response. */
 struct EngineCrash
 {
   EngineLife engine;
   TimePoint sentAt; // of the request
   TimePoint at;
+  Millis age{ 0 }; // of the response; 0: it had not begun
 
   auto operator<=>(const EngineCrash&) const = default;
 };
@@ -45,9 +47,9 @@
 struct SuspectReport
 {
   SuspectId id;
-  std::vector<EngineCrash> crashes; // since passedAt, oldest first
-  /** Start of the latest response that was written; 0: none. */
-  TimePoint passedAt;
+  /** Those that no response has cleared, oldest first. */
+  std::vector<EngineCrash> crashes;
+  PassTimes passes;
   bool blocked = false;
   std::optional<StoreEra> recordedIn; // the block is in the store of this era
 };
@@ -76,10 +78,11 @@
  * Requests that crash back ends may have no more in common than one section of
  * their prompts, which sound requests do not have, while these share everything
  * else with them and run beside them. The difference: with the section that
- * crashes back ends no response is ever written. So the evidence against a
- * suspect is the number of back ends that crashed, one after the other, just as
- * they began to write a response to a request with it, since the last response
- * to one was written. Each response that is written clears all its sections.
+ * crashes back ends no response is ever written beyond the crash. So the
+ * evidence against a suspect is the number of back ends that crashed, one after
+ * the other, as they wrote a response to a request with it, since the last
+ * response to one came further. A response clears all that its request consists
+ * of, as far as it came; one that ends whole clears it altogether.
  *
  * Crashes count as many times as one request was sent after the crash of the
  * one before: requests that run at the same time may have lost a failure domain
@@ -102,12 +105,16 @@
   /** Sound suspects that may be expected to be blocked while so many are
    * suspected and back ends crash at the present rate. */
   static constexpr double kMaxFalseBlocks = 0.01;
-  /** A crash this long after the start of a response is not due to what was
-   * asked. */
-  static constexpr Millis kWriteTime{ 300 };
+  /** A crash this long after the start of a response is a late one. */
+  static constexpr Millis kWriteTime = kStageTimes.front();
+  /** A back end that crashes ends all that it writes. Each second a daemon
+   * names so many suspects of late crashes; more of them would only displace
+   * each other, and fill its link with reports. */
+  static constexpr std::size_t kMaxLateSuspects = 200;
   /** While responses are written all the time, several back ends may crash
    * before the next one is known. So a suspect with which a response began
-   * within this time before a crash is neither serialized nor blocked by it. */
+   * within this time before a crash, and the time that it takes to come
+   * further, is neither serialized nor blocked by it. */
   static constexpr Millis kPassValidity{ 2000 };
   /** A block ends this long after its last crash. Then one request is tried; if
    * the back end crashes, the block is back. */
@@ -115,7 +122,8 @@
   /** How long a crash that did not lead to a block counts. */
   static constexpr Millis kCrashRetention{ 10 * 60 * 1000 };
   /** The next request with a serialized suspect may be sent when the result of
-   * the one before is known, or after this time. */
+   * the one before is known, or after this time and twice the age at which a
+   * response crashed. */
   static constexpr Millis kTrialTime{ 2000 };
   /** When to ask again for a trial that is not granted. */
   static constexpr Millis kTrialRetry{ 30 };
@@ -131,13 +139,15 @@
   /** \param aBackends number of listed back ends */
   explicit CrashSuspects(std::function<std::size_t()> aBackends);
 
-  /** A back end has written a response to a request with these suspects.
-   * \param aStarted when it began to write it */
+  /** A back end has been writing a response to a request with these suspects.
+   * \param aStarted when it began to write it
+   * \param aWhole whether the response has ended, and nothing is missing */
   void RecordPass(const std::vector<SuspectId>& aSuspects,
                   TimePoint aStarted,
-                  TimePoint aNow);
-  /** A back end crashed as it began to write a response to a request with these
-   * suspects. The others must know at once: TakeUrgent. */
+                  TimePoint aNow,
+                  bool aWhole = false);
+  /** A back end crashed before it had written a response to a request with
+   * these suspects. The others must know at once: TakeUrgent. */
   void RecordCrash(const std::vector<SuspectId>& aSuspects,
                    EngineCrash aCrash,
                    TimePoint aNow);
@@ -197,13 +207,18 @@
   {
     SuspectReport report;
     TimePoint changedAt;
+    TimePoint trialSince; // the latest trial
     TimePoint trialUntil; // no other trial before; 0: none
     bool decidedHere = false;
 
     [[nodiscard]] bool IsBlocked(TimePoint aNow) const;
     [[nodiscard]] TimePoint LastCrash() const;
-    /** Whether a response was written shortly before the last crash. */
+    /** Whether a response came further shortly before the last crash. */
     [[nodiscard]] bool PassedLately() const;
+    /** Whether a response that began later came further than a crash. */
+    [[nodiscard]] bool IsCleared(const EngineCrash& aCrash) const;
+    /** The largest age of a response that crashed. */
+    [[nodiscard]] Millis LargestAge() const;
   };
 
   [[nodiscard]] const Suspect* Find(SuspectId aId) const;
@@ -217,7 +232,9 @@
   /** Crashes in a row that block the suspect. */
   [[nodiscard]] std::size_t CrashesNeeded(const Suspect& aSuspect,
                                           TimePoint aNow) const;
-  void RememberPass(SuspectId aId, TimePoint aStarted);
+  void RememberPass(SuspectId aId, TimePoint aStarted, std::size_t aStages);
+  /** Whether a late crash may name so many suspects more. */
+  [[nodiscard]] bool MayNameLate(std::size_t aSuspects, TimePoint aNow);
   void DropOldest();
 
   std::function<std::size_t()> backends;
@@ -225,8 +242,10 @@
   std::map<EngineLife, TimePoint> ends; // recent crashes of all back ends
   /** When responses were written, of sections that are no suspects; in two
    * generations, the older of which is dropped when the other is full. */
-  std::unordered_map<SuspectId, TimePoint> passes;
-  std::unordered_map<SuspectId, TimePoint> olderPasses;
+  std::unordered_map<SuspectId, PassTimes> passes;
+  std::unordered_map<SuspectId, PassTimes> olderPasses;
+  TimePoint lateSince; // start of the second in which lateSuspects were named
+  std::size_t lateSuspects = 0;
   std::set<SuspectId> urgent;
   std::set<SuspectId> cleared;
   std::vector<SuspectChange> changes;
--- a/src/serve/BackendSend.cpp
+++ b/src/serve/BackendSend.cpp
@@ -111,7 +111,8 @@
   this->failureCause = FailureCause::eEngine;
   this->engineLeaving = false;
   this->engineRest = Millis(0);
-  this->writtenRecorded = false;
+  this->stagesRecorded = 0;
+  this->resumes = this->splitter.LastId().has_value();
   this->crashKnown = false;
   this->progressAt = TimePoint{};
 }
--- a/src/serve/CrashEvidence.cpp
+++ b/src/serve/CrashEvidence.cpp
@@ -75,8 +75,9 @@
   check.incarnation = this->ticket.incarnation;
   check.request = this->request.incoming.attempt;
   check.sentAgo = ServingState::Now() - this->sentAt;
-  if (!this->IsWritten()) {
-    check.suspects = this->request.suspects;
+  check.suspects = this->request.suspects;
+  if (this->responseStarted) {
+    check.responseAge = ServingState::Now() - this->responseStartedAt;
   }
   return check;
 }
@@ -91,14 +92,23 @@
   }
   CrashCheck check = this->MakeCrashCheck(aBackend);
   check.broken = false;
+  const bool isSound = this->MayRepeatAfterCrash();
   this->crashKnown = co_await RecordIfCrashed(this->state, std::move(check));
   if (this->crashKnown) {
     this->lastFailure = "the back end crashed as its response ended";
-    this->mayHaveCrashed = !this->IsWritten();
+    this->mayHaveCrashed = !this->IsWritten() || !isSound;
   }
   co_return this->crashKnown;
 }
 
+bool
+RequestForwarder::MayRepeatAfterCrash() const
+{
+  return this->state.crashSuspects.MayRepeat(this->request.SectionSuspects(),
+                                             this->request.suspects.back(),
+                                             this->state.ClusterNow());
+}
+
 Task<void>
 RequestForwarder::CheckForCrash(InstanceId aBackend)
 {
@@ -108,11 +118,7 @@
   CrashCheck check = this->MakeCrashCheck(aBackend);
   const bool repeatable =
     !this->request.relayed && IsRetrySafe(this->request.route->kind);
-  const bool isSound =
-    this->state.crashSuspects.MayRepeat(this->request.SectionSuspects(),
-                                        this->request.suspects.back(),
-                                        this->state.ClusterNow());
-  if (check.suspects.empty() || !repeatable || isSound) {
+  if (!repeatable || this->MayRepeatAfterCrash()) {
     RecordIfCrashedLater(this->state, std::move(check));
     co_return;
   }
@@ -122,15 +128,19 @@
 }
 
 void
-RequestForwarder::RecordWritten()
+RequestForwarder::RecordWritten(bool aWhole)
 {
-  if (this->writtenRecorded || !this->peer.Empty()) {
+  const Millis age = ServingState::Now() - this->responseStartedAt;
+  const std::size_t stages = StagesPassed(age, aWhole);
+  // The rest of a response shows nothing of what comes before it.
+  const bool isEvidence = this->peer.Empty() && !this->resumes;
+  if (stages <= this->stagesRecorded || !isEvidence) {
     return;
   }
-  this->writtenRecorded = true;
+  this->stagesRecorded = stages;
   const TimePoint now = this->state.ClusterNow();
-  const Millis age = ServingState::Now() - this->responseStartedAt;
-  this->state.crashSuspects.RecordPass(this->request.suspects, now - age, now);
+  this->state.crashSuspects.RecordPass(
+    this->request.suspects, now - age, now, aWhole);
   if (this->state.crashSuspects.HasCleared()) {
     this->state.sendSuspects();
   }
--- a/src/serve/CrashProbe.cpp
+++ b/src/serve/CrashProbe.cpp
@@ -57,14 +57,14 @@
                                 std::to_string(aCheck.incarnation)) };
   aState.crashSuspects.RecordCrash(
     aCheck.suspects,
-    EngineCrash{ life, brokeAt - aCheck.sentAgo, brokeAt },
+    EngineCrash{ life, brokeAt - aCheck.sentAgo, brokeAt, aCheck.responseAge },
     aState.ClusterNow());
   aState.sendSuspects();
   aState.log.Emit(Event("backend.crashed")
                     .With("backend", aCheck.backend)
                     .With("born", aCheck.incarnation)
                     .With("request", aCheck.request)
-                    .With("as_it_began", aCheck.suspects.empty() ? 0 : 1)
+                    .With("response_age_ms", aCheck.responseAge.count())
                     .With("reason", error.message()));
   co_return true;
 }
--- a/src/serve/CrashProbe.h
+++ b/src/serve/CrashProbe.h
@@ -25,8 +25,8 @@
   /** Whether the response broke off. If not, it ended with its connection and
    * may be complete. */
   bool broken = true;
-  /** What may have crashed the back end; empty when the response had been
-   * written for some time. */
+  Millis responseAge{ 0 }; // 0: the response had not begun
+  /** What may have crashed the back end. */
   std::vector<SuspectId> suspects;
 };
 
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -158,11 +158,14 @@
   [[nodiscard]] bool IsBlocked() const;
   /** Gets the trial that a request needs which might crash its back end. */
   Task<bool> AcquireTrial();
-  /** Whether the current response was written for so long that what was asked
-   * cannot have crashed its back end. */
+  /** Whether a crash of the current response's back end is a late one. */
   [[nodiscard]] bool IsWritten() const;
-  /** Records once that the current response was written. */
-  void RecordWritten();
+  /** Records how far the current response has come, once for each stage.
+   * \param aWhole it has ended, and nothing is missing */
+  void RecordWritten(bool aWhole);
+  /** Whether the request may be sent again though its back end may have
+   * crashed. */
+  [[nodiscard]] bool MayRepeatAfterCrash() const;
   [[nodiscard]] CrashCheck MakeCrashCheck(const InstanceId& aBackend) const;
   /** Finds out whether the back end of a broken response has crashed. */
   Task<void> CheckForCrash(InstanceId aBackend);
@@ -302,14 +305,15 @@
   bool transportFailed = false; // the current send ended without a response
   bool timedOut = false;        // by a timeout
   FailureCause failureCause = FailureCause::eEngine; // of the current send
-  bool mayHaveCrashed = false;  // a back end, and might crash the next one
-  bool crashKnown = false;      // of the current send's back end
-  bool writtenRecorded = false; // the current response
-  bool responseFailed = false;  // the current response reports a failure
-  bool engineLeaving = false;   // by the current response
-  Millis engineRest{ 0 };       // that the current response asks for
-  TimePoint responseStartedAt;  // start of the current response
-  TimePoint sentAt;             // of the current send
+  bool mayHaveCrashed = false; // a back end, and might crash the next one
+  bool crashKnown = false;     // of the current send's back end
+  bool resumes = false; // the current send asks for the rest of a response
+  std::size_t stagesRecorded = 0; // of the current response
+  bool responseFailed = false;    // the current response reports a failure
+  bool engineLeaving = false;     // by the current response
+  Millis engineRest{ 0 };         // that the current response asks for
+  TimePoint responseStartedAt;    // start of the current response
+  TimePoint sentAt;               // of the current send
   std::optional<ObservedRequest> observed; // of the current send
   TimePoint firstEventAt;                  // 0 before the first event
   TimePoint lastEventAt;                   // 0 before the first event
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -258,7 +258,7 @@
   this->ReleaseBackend();
   co_await this->responder.End();
   this->RecordSlotTime(aPlacement);
-  this->RecordWritten();
+  this->RecordWritten(true);
   this->state.backends.RecordSuccess(aPlacement.backend);
   this->RecordOutput(aPlacement);
   this->LogEnd(kOk, "streamed");
@@ -296,9 +296,7 @@
     this->state.evidence.RecordEvents(
       *this->observed, this->splitter.ReturnedCount() - this->eventsAtStart);
   }
-  if (this->IsWritten()) {
-    this->RecordWritten();
-  }
+  this->RecordWritten(false);
   if (!this->responder.Started()) {
     HttpResponse head = this->state.wire.backends.forwardHead(
       aExchange.Status(), aExchange.Headers());
@@ -436,7 +434,7 @@
   this->RecordResponseStart(aPlacement);
   if (!failed) {
     this->RecordSlotTime(aPlacement);
-    this->RecordWritten();
+    this->RecordWritten(true);
   }
   if (aIsFalsePromise) {
     this->lastFailure =
--- a/src/serve/SuspectReports.cpp
+++ b/src/serve/SuspectReports.cpp
@@ -5,6 +5,7 @@
 #include "coord/ReadBackoff.h"
 #include "edge/Worker.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace toucanshed {
@@ -19,6 +20,39 @@
  * another one. */
 constexpr Millis kRecordDelay{ 1000 };
 
+/** Larger than the age of any response. */
+constexpr std::uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
+
+void
+AddPasses(const PassTimes& aPasses, serving::SuspectState& aMessage)
+{
+  const TimePoint first = aPasses.at.front();
+  aMessage.set_passed_ms(first.ms);
+  for (std::size_t i = 1; i < kStages && aPasses.at.at(i).ms != 0; ++i) {
+    const Millis before = first - aPasses.at.at(i);
+    aMessage.add_passed_before_ms(static_cast<std::uint64_t>(before.count()) +
+                                  1);
+  }
+}
+
+PassTimes
+ReadPasses(const serving::SuspectState& aMessage)
+{
+  PassTimes passes;
+  passes.at.front() = TimePoint{ aMessage.passed_ms() };
+  const auto later = std::min(
+    static_cast<std::size_t>(aMessage.passed_before_ms_size()), kStages - 1);
+  for (std::size_t i = 0; i < later; ++i) {
+    const std::uint64_t before = aMessage.passed_before_ms(static_cast<int>(i));
+    const bool isValid = before > 0 && before <= kMaxAgeMs;
+    if (isValid) {
+      passes.at.at(i + 1) =
+        passes.at.front() - Millis(static_cast<std::int64_t>(before) - 1);
+    }
+  }
+  return passes;
+}
+
 /** The key of a suspect's record. */
 std::string
 KeyOf(SuspectId aSuspect)
@@ -100,8 +134,9 @@
     entry->set_engine(crash.engine.value);
     entry->set_at_ms(crash.at.ms);
     entry->set_sent_ms(crash.sentAt.ms);
+    entry->set_age_ms(static_cast<std::uint64_t>(crash.age.count()));
   }
-  message.set_passed_ms(aReport.passedAt.ms);
+  AddPasses(aReport.passes, message);
   message.set_blocked(aReport.blocked);
   if (aReport.recordedIn) {
     message.set_recorded_era(aReport.recordedIn->value);
@@ -115,11 +150,13 @@
   SuspectReport report;
   report.id = SuspectId{ aState.id() };
   for (const serving::EngineCrash& crash : aState.crashes()) {
-    report.crashes.push_back(EngineCrash{ EngineLife{ crash.engine() },
-                                          TimePoint{ crash.sent_ms() },
-                                          TimePoint{ crash.at_ms() } });
+    report.crashes.push_back(
+      EngineCrash{ EngineLife{ crash.engine() },
+                   TimePoint{ crash.sent_ms() },
+                   TimePoint{ crash.at_ms() },
+                   Millis(std::min(crash.age_ms(), kMaxAgeMs)) });
   }
-  report.passedAt = TimePoint{ aState.passed_ms() };
+  report.passes = ReadPasses(aState);
   report.blocked = aState.blocked();
   if (aState.has_recorded_era()) {
     report.recordedIn = StoreEra{ aState.recorded_era() };
@@ -166,15 +203,20 @@
     const bool blocked = change.kind == SuspectChange::Kind::eBlocked;
     aState.metrics.Count(blocked ? "toucanshed_suspects_blocked_total"
                                  : "toucanshed_suspects_lifted_total");
-    aState.log.Emit(Event(blocked ? "suspect.blocked" : "suspect.lifted")
-                      .With("suspect", KeyOf(change.suspect.id))
-                      .With("crashes", change.suspect.crashes.size())
-                      .With("needed", change.neededCrashes)
-                      .With("last_crash_ms",
-                            change.suspect.crashes.empty()
-                              ? 0
-                              : change.suspect.crashes.back().at.ms)
-                      .With("last_response_ms", change.suspect.passedAt.ms));
+    aState.log.Emit(
+      Event(blocked ? "suspect.blocked" : "suspect.lifted")
+        .With("suspect", KeyOf(change.suspect.id))
+        .With("crashes", change.suspect.crashes.size())
+        .With("needed", change.neededCrashes)
+        .With("last_crash_ms",
+              change.suspect.crashes.empty()
+                ? 0
+                : change.suspect.crashes.back().at.ms)
+        .With("last_crash_age_ms",
+              change.suspect.crashes.empty()
+                ? 0
+                : change.suspect.crashes.back().age.count())
+        .With("last_response_ms", change.suspect.passes.at.front().ms));
   }
 }
 
--- a/standin/platform/Engine.cpp
+++ b/standin/platform/Engine.cpp
@@ -68,10 +68,12 @@
                               : this->eventsPerStream;
   const std::uint64_t crashesBefore = this->crashes;
   co_await Sleep(this->eventInterval);
-  if (this->crashes == crashesBefore && this->Crashes(aRequest)) {
-    this->Crash();
-  }
+  const std::uint64_t crashAt = next + this->eventsBeforeCrash;
   for (; next < end && this->crashes == crashesBefore; ++next) {
+    if (next == crashAt && this->Crashes(aRequest)) {
+      this->Crash();
+      break;
+    }
     std::string event = "id: " + std::to_string(next) + "\ndata: token-" +
                         std::to_string(next) + "\n\n";
     co_await aResponder.Write(std::move(event));
--- a/standin/platform/Engine.h
+++ b/standin/platform/Engine.h
@@ -70,6 +70,7 @@
   /** The engine crashes when it begins to write the response to a prompt that
    * has this section, unless it is the last one; empty: none. */
   std::string crashingSection;
+  std::uint64_t eventsBeforeCrash = 0; // that it writes before it crashes
   std::function<void()> onCrash = [] {};
   /** Ends all responses in progress where they are, as a crash does. */
   void Crash();
--- a/test/SuspectRequests.cpp
+++ b/test/SuspectRequests.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr Millis kMaxTimeToFirstToken{ 300 };
-constexpr Millis kMaxWriting{ 1500 };
-constexpr Millis kCrashDelay{ 60 }; // after the response begins
 constexpr Millis kEngineReturn{ 4000 };
 constexpr Millis kMaxProbe{ 60 }; // until a daemon knows of a crash
 constexpr Millis kTrialPatience{ 250 };
@@ -53,7 +51,10 @@
       suspects = { section, SuspectId{ second } };
     }
   }
-  suspects.push_back(SuspectId{ kRequestIds + ++this->requests });
+  ++this->requests;
+  const bool isRepeat = !aSound && this->load.repeatsOneRequest;
+  suspects.push_back(
+    SuspectId{ kRequestIds + (isRepeat ? 0 : this->requests) });
   this->TrySend(daemon,
                 this->daemons[daemon].life,
                 std::move(suspects),
@@ -234,7 +235,7 @@
     const auto found = this->crashing.find(id);
     if (found != this->crashing.end()) {
       crashes = true;
-      this->steps.After(kCrashDelay, [this, aEngine, aLife, id] {
+      this->steps.After(this->load.crashAge, [this, aEngine, aLife, id] {
         if (this->engines[aEngine].life == aLife) {
           this->crashing[id].crashes.push_back(this->steps.Now());
           this->CrashEngine(aEngine);
@@ -242,16 +243,20 @@
       });
     }
   }
-  if (!crashes) {
-    const Millis writing = this->steps.RandomDelay(kMaxWriting);
-    this->steps.After(std::min(writing, CrashSuspects::kWriteTime),
-                      [this, aEngine, aLife, aRequest] {
-                        this->RecordWritten(aEngine, aLife, aRequest);
-                      });
-    this->steps.After(writing, [this, aEngine, aLife, aRequest] {
-      this->EndResponse(aEngine, aLife, aRequest);
-    });
+  const Millis writing = crashes
+                           ? this->load.crashAge + this->load.maxWriting
+                           : this->steps.RandomDelay(this->load.maxWriting);
+  for (const Millis stage : kStageTimes) {
+    if (stage < writing) {
+      this->steps.After(stage, [this, aEngine, aLife, aRequest] {
+        this->RecordWritten(aEngine, aLife, aRequest, false);
+      });
+    }
   }
+  this->steps.After(writing, [this, aEngine, aLife, aRequest] {
+    this->RecordWritten(aEngine, aLife, aRequest, true);
+    this->EndResponse(aEngine, aLife, aRequest);
+  });
 }
 
 void
@@ -269,7 +274,8 @@
 void
 SuspectSimulation::RecordWritten(std::size_t aEngine,
                                  std::uint64_t aLife,
-                                 std::uint64_t aRequest)
+                                 std::uint64_t aRequest,
+                                 bool aWhole)
 {
   const Engine& engine = this->engines[aEngine];
   if (engine.life != aLife) {
@@ -281,7 +287,7 @@
     return;
   }
   daemon.suspects->RecordPass(
-    running.suspects, running.startedAt, this->steps.Now());
+    running.suspects, running.startedAt, this->steps.Now(), aWhole);
   this->SendPending(running.daemon);
 }
 
@@ -296,18 +302,14 @@
   engine.backAt = this->steps.Now() + kEngineReturn;
   for (const auto& [request, lost] : running) {
     this->soundLost += lost.sound ? 1 : 0;
-    const bool written =
-      lost.startedAt.ms != 0 &&
-      this->steps.Now() - lost.startedAt > CrashSuspects::kWriteTime;
-    const EngineCrash crash{ life, lost.sentAt, this->steps.Now() };
+    const Millis age =
+      lost.startedAt.ms != 0 ? this->steps.Now() - lost.startedAt : Millis(0);
+    const EngineCrash crash{ life, lost.sentAt, this->steps.Now(), age };
     this->steps.After(
-      this->steps.RandomDelay(kMaxProbe), [this, lost = lost, written, crash] {
+      this->steps.RandomDelay(kMaxProbe), [this, lost = lost, crash] {
         Daemon& daemon = this->daemons[lost.daemon];
         if (daemon.life == lost.daemonLife && !this->IsFrozen(lost.daemon)) {
-          daemon.suspects->RecordCrash(written ? std::vector<SuspectId>{}
-                                               : lost.suspects,
-                                       crash,
-                                       this->steps.Now());
+          daemon.suspects->RecordCrash(lost.suspects, crash, this->steps.Now());
           this->SendPending(lost.daemon);
         }
       });
--- a/test/SuspectSimulation.h
+++ b/test/SuspectSimulation.h
@@ -28,6 +28,9 @@
   std::size_t crashingSections = 1;
   /** The section that crashes engines is the first one, or the second. */
   bool crashesFirst = false;
+  Millis crashAge{ 60 };          // of the response that crashes its engine
+  Millis maxWriting{ 1500 };      // of a response
+  bool repeatsOneRequest = false; // the crashing requests are all the same
 };
 
 class SuspectSimulation
@@ -133,9 +136,12 @@
   void BeginResponse(std::size_t aEngine,
                      std::uint64_t aLife,
                      std::uint64_t aRequest);
+  /** The daemon records how far the response has come, now and as it passes
+   * further stages. */
   void RecordWritten(std::size_t aEngine,
                      std::uint64_t aLife,
-                     std::uint64_t aRequest);
+                     std::uint64_t aRequest,
+                     bool aWhole);
   void EndResponse(std::size_t aEngine,
                    std::uint64_t aLife,
                    std::uint64_t aRequest);
--- a/test/correctness/CrashSuspectsTest.cpp
+++ b/test/correctness/CrashSuspectsTest.cpp
@@ -149,4 +149,133 @@
         CrashSuspicion::eClear);
 }
 
+namespace {
+
+/** A response that crashed its back end when it had been written for the time.
+ */
+EngineCrash
+LateCrashAt(std::uint64_t aEngine, std::int64_t aMs, std::int64_t aAgeMs)
+{
+  return EngineCrash{ EngineLife{ aEngine },
+                      TimePoint{ aMs - aAgeMs },
+                      TimePoint{ aMs },
+                      Millis(aAgeMs) };
+}
+
+} // namespace
+
+// Guards against a request that clears itself before each crash: its response
+// is always written for a while.
+TEST_CASE("a response clears no crash that comes later in a response")
+{
+  for (const std::int64_t age : { 400, 900, 1700, 5000, 20000, 90000 }) {
+    CrashSuspects suspects = MakeSuspects();
+    std::int64_t at = 0;
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      const std::int64_t startedAt = at + 1000;
+      at = startedAt + age;
+      for (const Millis stage : kStageTimes) {
+        if (stage < Millis(age)) {
+          suspects.RecordPass({ kRequest },
+                              TimePoint{ startedAt },
+                              TimePoint{ startedAt } + stage);
+        }
+      }
+      suspects.RecordCrash(
+        { kRequest }, LateCrashAt(i, at, age), TimePoint{ at });
+    }
+    INFO("crash after " << age << " ms");
+    CHECK(suspects.SuspicionOf({ kRequest }, TimePoint{ at + 1 }) ==
+          CrashSuspicion::eBlocked);
+  }
+}
+
+// Guards against a sound request that stays suspected though a response to it
+// came further than those that broke off.
+TEST_CASE("a response that comes further or ends whole clears a late crash")
+{
+  CrashSuspects suspects = MakeSuspects();
+  suspects.RecordCrash(
+    { kSection, kRequest }, LateCrashAt(1, 5000, 1700), TimePoint{ 5000 });
+  suspects.RecordPass({ kSection }, TimePoint{ 5100 }, TimePoint{ 6800 });
+  CHECK(suspects.ReportOf(kSection).crashes.size() == 1);
+  suspects.RecordPass({ kSection }, TimePoint{ 5100 }, TimePoint{ 9200 });
+  CHECK(suspects.ReportOf(kSection).crashes.empty());
+  suspects.RecordPass({ kRequest }, TimePoint{ 5100 }, TimePoint{ 5200 }, true);
+  CHECK(suspects.ReportOf(kRequest).crashes.empty());
+}
+
+// Guards against daemons that know different things of a suspect after reports
+// that came late, twice or in another order.
+TEST_CASE("late crashes and passes merge to the same in any order")
+{
+  CrashSuspects source = MakeSuspects();
+  std::vector<SuspectReport> reports;
+  const auto take = [&] { reports.push_back(source.ReportOf(kSection)); };
+  source.RecordCrash(
+    { kSection }, LateCrashAt(1, 5000, 1700), TimePoint{ 5000 });
+  take();
+  source.RecordCrash({ kSection }, CrashAt(2, 6000), TimePoint{ 6000 });
+  take();
+  source.RecordPass({ kSection }, TimePoint{ 6100 }, TimePoint{ 6500 });
+  take();
+  source.RecordCrash(
+    { kSection }, LateCrashAt(3, 9000, 900), TimePoint{ 9000 });
+  take();
+  const SuspectReport last = reports.back();
+  CHECK(last.crashes.size() == 2);
+  std::sort(reports.begin(), reports.end(), [](auto& aLeft, auto& aRight) {
+    return aLeft.crashes < aRight.crashes;
+  });
+  do {
+    CrashSuspects other = MakeSuspects();
+    for (int round = 0; round < 2; ++round) {
+      for (const SuspectReport& report : reports) {
+        other.Merge(report, TimePoint{ 9100 });
+      }
+    }
+    CHECK(other.ReportOf(kSection).crashes == last.crashes);
+    CHECK(other.ReportOf(kSection).passes == last.passes);
+  } while (std::next_permutation(
+    reports.begin(), reports.end(), [](auto& aLeft, auto& aRight) {
+      return aLeft.crashes < aRight.crashes;
+    }));
+}
+
+// Guards against a trial whose result is not taken for it, so that the next one
+// waits for seconds: the crash is known by another clock.
+TEST_CASE("a trial ends with the crash of its own request")
+{
+  CrashSuspects suspects = MakeSuspects();
+  suspects.RecordCrash({ kRequest }, CrashAt(1, 1000), TimePoint{ 1000 });
+  REQUIRE(suspects.SuspicionOf({ kRequest }, TimePoint{ 1100 }) ==
+          CrashSuspicion::eSerialized);
+  CHECK(suspects.GrantTrial(kRequest, TimePoint{ 2000 }).granted);
+  const EngineCrash earlier{
+    EngineLife{ 2 }, TimePoint{ 1500 }, TimePoint{ 2100 }, Millis(0)
+  };
+  suspects.RecordCrash({ kRequest }, earlier, TimePoint{ 2100 });
+  CHECK_FALSE(suspects.GrantTrial(kRequest, TimePoint{ 2200 }).granted);
+  const EngineCrash own{
+    EngineLife{ 3 }, TimePoint{ 1980 }, TimePoint{ 2300 }, Millis(0)
+  };
+  suspects.RecordCrash({ kRequest }, own, TimePoint{ 2300 });
+  CHECK(suspects.GrantTrial(kRequest, TimePoint{ 2400 }).granted);
+}
+
+// Guards against a daemon whose link is full of reports when a failure domain
+// ends with all that is written there.
+TEST_CASE("late crashes name a bounded number of suspects a second")
+{
+  CrashSuspects suspects = MakeSuspects();
+  for (std::uint64_t i = 1; i <= 1000; ++i) {
+    suspects.RecordCrash(
+      { SuspectId{ i } }, LateCrashAt(1, 5000, 1700), TimePoint{ 5000 });
+  }
+  CHECK(suspects.TakeUrgent().size() == CrashSuspects::kMaxLateSuspects);
+  suspects.RecordCrash(
+    { SuspectId{ 5000 } }, LateCrashAt(2, 6100, 1700), TimePoint{ 6100 });
+  CHECK(suspects.TakeUrgent().size() == 1);
+}
+
 } // namespace toucanshed
--- a/test/failure/CrashSuspectsTest.cpp
+++ b/test/failure/CrashSuspectsTest.cpp
@@ -135,6 +135,52 @@
   }
 }
 
+// Guards against engines that crash one after the other since each response of
+// the request clears it before its engine crashes, and against sound streams
+// that are refused because their engines crashed for other reasons.
+TEST_CASE("a request that crashes engines in mid-stream is blocked in time")
+{
+  for (const Size& size : kSizes) {
+    for (const int ageMs : { 400, 1700, 5000 }) {
+      for (const bool repeats : { true, false }) {
+        SuspectLoad load = LoadOf(size, 1);
+        load.soundPerS /= 4;
+        load.crashAge = Millis(ageMs);
+        load.maxWriting = Millis(12000);
+        load.repeatsOneRequest = repeats;
+        SuspectSimulation run(size.daemons, size.engines, load);
+        run.SetOrdinaryCrashes(0.2);
+        run.Run(Millis(size.daemons > kManyDaemons ? 30000 : 45000));
+        UNSCOPED_INFO("crash after " << ageMs << " ms");
+        CheckBound(repeats ? "one request" : "a section", size, run);
+        CHECK(run.SoundRefused() * 100 <= run.SoundSent());
+      }
+    }
+  }
+}
+
+// Guards against long sound streams being blocked because their engines crash
+// for other reasons, one by one and a domain at once.
+TEST_CASE("ordinary crashes block no section of long streams")
+{
+  for (const Size& size : kSizes) {
+    SuspectLoad load = LoadOf(size, 0);
+    load.soundPerS /= 4;
+    load.soundSections *= 10; // most are rare
+    load.maxWriting = Millis(20000);
+    SuspectSimulation run(size.daemons, size.engines, load);
+    run.SetOrdinaryCrashes(1);
+    for (int i = 0; i < 4; ++i) {
+      run.Run(Millis(6000));
+      run.CrashAtOnce(size.daemons > kManyDaemons ? 0.1 : 0.25);
+    }
+    run.Run(Millis(6000));
+    CheckBound("ordinary crashes, long streams", size, run);
+    Report("ordinary crashes, long streams", size, run);
+    CHECK(run.SoundRefused() * 100 <= run.SoundSent());
+  }
+}
+
 // Guards against a crashing section being missed because others are in the same
 // prompts: it comes first, or there are two, or few sound requests clear them.
 TEST_CASE("a crashing section is found wherever it is in the prompt")
