An engine that crashes again before it is listed anew counts again

Callers saw, on the way to review/6: 4 to 9 engines crashed where three were enough, and every other try of the request got 503 for want of a trial.

Cause: a crash was known by the engine's listed incarnation. An engine that was back after 2 s, but whose new entry was not read yet, crashed under the old identity; its second crash was merged into the first one, and was not taken for the result of its trial.

Change: two requests lost the same engine if neither was sent after the other's crash, within what clocks differ by.

The new test fails with the identity alone (by reading; not run without the change).

--- a/src/coord/CrashSuspects.cpp
+++ b/src/coord/CrashSuspects.cpp
@@ -21,6 +21,17 @@
 /** The daemons' estimates of cluster time differ by less than this. */
 constexpr Millis kMaxClockSkew{ 50 };
 
+/** Whether two requests lost the same back end. One that has crashed and is
+ * back, but whose new incarnation is not listed yet, bears the same identity;
+ * the request that it crashes next was sent after the first crash. */
+bool
+IsSameCrash(const EngineCrash& aLeft, const EngineCrash& aRight)
+{
+  return aLeft.engine == aRight.engine &&
+         aLeft.sentAt < aRight.at + kMaxClockSkew &&
+         aRight.sentAt < aLeft.at + kMaxClockSkew;
+}
+
 /** Crashes one after the other: the request of each was sent after the one
  * before. Precondition: they are in the order of their times. */
 std::size_t
@@ -228,7 +239,7 @@
                       aNow - aCrash.at < std::max(kCrashRetention, kBlockTime);
   const auto known = std::find_if(
     crashes.begin(), crashes.end(), [&](const EngineCrash& aKnown) {
-      return aKnown.engine == aCrash.engine;
+      return IsSameCrash(aKnown, aCrash);
     });
   if (!counts) {
     return;
--- a/test/correctness/CrashSuspectsTest.cpp
+++ b/test/correctness/CrashSuspectsTest.cpp
@@ -242,6 +242,23 @@
     }));
 }
 
+// Guards against crashes that count once since the list still names the
+// incarnation that crashed first.
+TEST_CASE("a back end that crashes again before it is listed anew counts again")
+{
+  CrashSuspects suspects = MakeSuspects();
+  for (std::int64_t at = 3000; at <= 9000; at += 3000) {
+    suspects.RecordCrash(
+      { kRequest }, LateCrashAt(1, at, 400), TimePoint{ at });
+    // The same crash, as another request of that time has met it.
+    suspects.RecordCrash(
+      { kRequest }, LateCrashAt(1, at + 3, 20), TimePoint{ at + 3 });
+  }
+  CHECK(suspects.ReportOf(kRequest).crashes.size() == 3);
+  CHECK(suspects.SuspicionOf({ kRequest }, TimePoint{ 9100 }) ==
+        CrashSuspicion::eBlocked);
+}
+
 // Guards against a trial whose result is not taken for it, so that the next one
 // waits for seconds: the crash is known by another clock.
 TEST_CASE("a trial ends with the crash of its own request")
