Header fields of any length within the limit are served

Cause: the HTTP library keeps a field's length in 16 bits and throws beyond 65,533 bytes; the operator's limit was handed to it as it is.

Change: values are kept in parts of 48 KiB, the later ones in fields whose names begin with a space, which no message can have, and are read and written whole (MessageFields). What is passed on to an engine or another daemon has the client's value. A response's head may be as large as its request's and 16 KiB more, since it repeats fields of it: the id of a request, for one. What a long head holds is counted.

Why it works: every field that a message brings is inserted by that one function, and every head is written by its counterpart.

--- a/src/daemon/CallerApi.cpp
+++ b/src/daemon/CallerApi.cpp
@@ -8,6 +8,7 @@
 #include "PlainCall.h"
 #include "WorkRunner.h"
 #include "base/Hash.h"
+#include "edge/MessageFields.h"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/src/daemon/PlainCall.cpp
+++ b/src/daemon/PlainCall.cpp
@@ -3,6 +3,7 @@
 #include "VersionShares.h"
 #include "base/Hash.h"
 #include "edge/HttpExchange.h"
+#include "edge/MessageFields.h"
 
 namespace toucanshed {
 
--- a/src/edge/HttpExchange.cpp
+++ b/src/edge/HttpExchange.cpp
@@ -12,7 +12,6 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
-#include <sstream>
 
 namespace toucanshed {
 
@@ -20,7 +19,8 @@
 
 namespace {
 
-/** A larger head fails as a protocol error. */
+/** A head that is larger by this than the request's own fails as a protocol
+ * error: a response repeats fields of its request. */
 constexpr std::uint32_t kMaxHeadBytes = 16U << 10U;
 /** The same for a body, which callers may forward without holding it. */
 constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20U;
@@ -203,9 +203,10 @@
   boost::system::error_code error;
   HttpConnection& current = *this->connection;
   current.stream.expires_after(this->timeouts.head);
-  std::ostringstream head;
-  head << aRequest.base();
-  const std::string text = head.str();
+  const std::string text = FormatHead(aRequest);
+  this->headLimit = kMaxHeadBytes + static_cast<std::uint32_t>(text.size());
+  current.buffer.max_size(
+    std::max<std::size_t>(HttpConnection::kMaxBufferBytes, this->headLimit));
   const std::array<net::const_buffer, 2> buffers{ net::buffer(text),
                                                   net::buffer(aBody) };
   co_await net::async_write(
@@ -222,7 +223,7 @@
   HttpConnection& current = *this->connection;
   for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     this->parser = std::make_unique<Parser>();
-    this->parser->header_limit(kMaxHeadBytes);
+    this->parser->header_limit(this->headLimit);
     this->parser->body_limit(kMaxResponseBytes);
     boost::system::error_code error;
     co_await http::async_read_header(
--- a/src/edge/HttpExchange.h
+++ b/src/edge/HttpExchange.h
@@ -4,10 +4,9 @@
 #pragma once
 
 #include "HttpConnectionPool.h"
-#include "HttpTypes.h"
+#include "MessageFields.h"
 #include "Task.h"
 
-#include <boost/beast/http/parser.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -150,7 +149,7 @@
   Task<CallResult<std::optional<std::string>>> ReadChunk();
 
 private:
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = MessageParser<false>;
 
   HttpExchange() = default;
   /** Sets the abort handle's connection to the current one, or to none. */
@@ -177,6 +176,7 @@
   std::shared_ptr<AbortHandle> abortHandle;
   std::unique_ptr<HttpConnection> connection;
   std::unique_ptr<Parser> parser;
+  std::uint32_t headLimit = 0; // of the response
 };
 
 /** Sends a request and reads the whole response, which must be complete within
--- a/src/edge/HttpResponder.cpp
+++ b/src/edge/HttpResponder.cpp
@@ -1,6 +1,7 @@
 #include "HttpResponder.h"
 
 #include "ClientGuard.h"
+#include "MessageFields.h"
 #include "base/Invariant.h"
 
 #include <array>
@@ -10,7 +11,6 @@
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <cstdio>
-#include <sstream>
 #include <sys/socket.h>
 
 namespace toucanshed {
@@ -119,9 +119,7 @@
     this->writeFailed = true; // the connection is closed without a response
     co_return false;
   }
-  std::ostringstream head;
-  head << aResponse.base();
-  const std::string text = head.str();
+  const std::string text = FormatHead(aResponse);
   const bool sent = co_await this->WriteAll(text, aResponse.body());
   const bool released = this->place->TryHold(HeldBytes::eResponse, 0);
   Invariant(released, "fewer bytes are always held");
@@ -136,9 +134,7 @@
   aHead.keep_alive(this->keepAlive);
   aHead.body().clear();
   aHead.chunked(true);
-  std::ostringstream text;
-  text << aHead.base();
-  co_return co_await this->WriteRaw(text.str());
+  co_return co_await this->WriteRaw(FormatHead(aHead));
 }
 
 Task<bool>
--- a/src/edge/HttpTypes.cpp
+++ b/src/edge/HttpTypes.cpp
@@ -31,13 +31,6 @@
   return response;
 }
 
-std::string
-HeaderOf(const http::fields& aFields, std::string_view aName)
-{
-  const auto found = aFields.find(aName);
-  return found == aFields.end() ? std::string{} : std::string(found->value());
-}
-
 std::string
 QueryParamOf(std::string_view aTarget, std::string_view aName)
 {
--- a/src/edge/HttpTypes.h
+++ b/src/edge/HttpTypes.h
@@ -29,10 +29,6 @@
              std::string aBody,
              std::string_view aContentType = "application/json");
 
-/** Returns the value of a header field; empty if it is missing. */
-std::string
-HeaderOf(const http::fields& aFields, std::string_view aName);
-
 /** Returns the value of parameter aName in the target's query; empty if it is
  * missing. Values are not unescaped, as the ports that use queries need no
  * escapes. */
--- a/src/edge/RequestReader.cpp
+++ b/src/edge/RequestReader.cpp
@@ -17,6 +17,10 @@
 /** Memory of a request that is read, waits or runs, beside its body and what
  * was read ahead of it. */
 constexpr std::size_t kRequestBytes = std::size_t{ 24 } << 10U;
+/** What kRequestBytes has room for, and how often a longer head is held: as it
+ * was read, as it is sent on, and while it is written. */
+constexpr std::size_t kUsualHeadBytes = std::size_t{ 6 } << 10U;
+constexpr std::size_t kHeadCopies = 3;
 /** Most bytes that are read ahead, and so the longest chunk header and the
  * longest trailer. */
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{ 64 } << 10U;
@@ -44,7 +48,10 @@
 RequestReader::AllocatedBytes(std::size_t aExtraBytes) const
 {
   const std::size_t body = this->parser.get().body().capacity();
-  return kRequestBytes + this->connection.buffer.capacity() +
+  const std::size_t longHead =
+    this->headBytes - std::min(this->headBytes, kUsualHeadBytes);
+  return kRequestBytes + kHeadCopies * longHead +
+         this->connection.buffer.capacity() +
          this->limits.bodyCopies * (body + aExtraBytes);
 }
 
@@ -75,6 +82,7 @@
     co_return net::error::operation_aborted;
   }
   boost::system::error_code error;
+  const bool readsHead = !this->parser.is_header_done();
   const std::size_t buffered = this->connection.buffer.size();
   const std::size_t parsed = co_await http::async_read_some(
     this->connection.stream,
@@ -85,6 +93,9 @@
   this->connection.place->RecordMoved(parsed + left -
                                       std::min(buffered, parsed + left));
   this->noRoom = this->connection.place->IsClosing();
+  if (readsHead) {
+    this->headBytes = this->parser.is_header_done() ? parsed : left;
+  }
   co_return error;
 }
 
--- a/src/edge/RequestReader.h
+++ b/src/edge/RequestReader.h
@@ -5,13 +5,12 @@
 #pragma once
 
 #include "ClientGuard.h"
-#include "HttpTypes.h"
+#include "MessageFields.h"
 #include "ReadTimeout.h"
 #include "Task.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <tl/expected.hpp>
 
 namespace toucanshed {
@@ -57,7 +56,7 @@
   static void Release(ClientConnection& aConnection);
 
 private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = MessageParser<true>;
 
   Task<boost::system::error_code> ReadHead();
   Task<boost::system::error_code> ReadBody();
@@ -77,6 +76,7 @@
   const HttpLimits& limits;
   ReadTimeout timeout;
   Parser parser;
+  std::size_t headBytes = 0; // of the head, as far as it was read
   bool noRoom = false;
 };
 
--- a/src/serve/RelayFields.cpp
+++ b/src/serve/RelayFields.cpp
@@ -1,5 +1,7 @@
 #include "RelayFields.h"
 
+#include "edge/MessageFields.h"
+
 #include <charconv>
 #include <string>
 
@@ -58,12 +60,12 @@
 void
 WriteRelayTerms(const RelayTerms& aTerms, HttpRequest& aRequest)
 {
-  aRequest.set(kFromField, aTerms.from.value);
-  aRequest.set(kTimeLeftField, std::to_string(aTerms.timeLeft.count()));
-  aRequest.set(kCatalogField, std::to_string(aTerms.catalogVersion));
-  aRequest.erase(kResumeAfterField);
+  SetField(aRequest, kFromField, aTerms.from.value);
+  SetField(aRequest, kTimeLeftField, std::to_string(aTerms.timeLeft.count()));
+  SetField(aRequest, kCatalogField, std::to_string(aTerms.catalogVersion));
+  EraseField(aRequest, kResumeAfterField);
   if (aTerms.resumeAfter) {
-    aRequest.set(kResumeAfterField, std::to_string(*aTerms.resumeAfter));
+    SetField(aRequest, kResumeAfterField, std::to_string(*aTerms.resumeAfter));
   }
 }
 
@@ -77,7 +79,7 @@
   terms.resumeAfter = NumberOf(aRequest, kResumeAfterField);
   for (const char* name :
        { kFromField, kTimeLeftField, kCatalogField, kResumeAfterField }) {
-    aRequest.erase(name);
+    EraseField(aRequest, name);
   }
   if (terms.from.Empty() || !timeLeft || !catalog) {
     return Fail(ErrorCode::eInvalid, "no relayed request");
@@ -118,9 +120,9 @@
 void
 EraseRelayOutcome(HttpResponse& aResponse)
 {
-  aResponse.erase(kOutcomeField);
-  aResponse.erase(kSendsField);
-  aResponse.erase(kRetryAfterField);
+  EraseField(aResponse, kOutcomeField);
+  EraseField(aResponse, kSendsField);
+  EraseField(aResponse, kRetryAfterField);
 }
 
 } // namespace toucanshed
--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -3,6 +3,7 @@
 #include "LoadHelpers.h"
 #include "PlainServiceResponse.h"
 #include "Tokens.h"
+#include "edge/MessageFields.h"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/standin/PlainService.cpp
+++ b/standin/PlainService.cpp
@@ -1,6 +1,7 @@
 #include "PlainService.h"
 
 #include "PlainServiceResponse.h"
+#include "edge/MessageFields.h"
 #include "edge/Worker.h"
 
 #include <boost/json.hpp>
--- a/standin/platform/Cloud.cpp
+++ b/standin/platform/Cloud.cpp
@@ -1,5 +1,7 @@
 #include "Cloud.h"
 
+#include "edge/MessageFields.h"
+
 namespace toucanshed::standin {
 
 Task<void>
--- a/standin/platform/Engine.cpp
+++ b/standin/platform/Engine.cpp
@@ -1,5 +1,7 @@
 #include "Engine.h"
 
+#include "edge/MessageFields.h"
+
 #include <boost/beast/core/string.hpp>
 
 namespace toucanshed::standin {
--- a/standin/platform/RawEngine.cpp
+++ b/standin/platform/RawEngine.cpp
@@ -1,6 +1,7 @@
 #include "RawEngine.h"
 
 #include "edge/HttpTypes.h"
+#include "edge/MessageFields.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/test/CallerSocket.cpp
+++ b/test/CallerSocket.cpp
@@ -1,6 +1,7 @@
 #include "CallerSocket.h"
 
 #include "base/Types.h"
+#include "edge/MessageFields.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -23,6 +24,7 @@
 
 constexpr std::chrono::seconds kPatience{ 8 };
 constexpr int kMaxReturns = 5;
+constexpr std::uint32_t kMaxHeadBytes = 1U << 20U;
 constexpr std::chrono::milliseconds kDefaultReturnDelay{ 300 };
 
 std::chrono::milliseconds
@@ -47,13 +49,16 @@
   net::io_context context;
   boost::beast::tcp_stream stream(context);
   boost::beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
+  MessageParser<false> parser;
+  parser.header_limit(kMaxHeadBytes);
   parser.body_limit(boost::none);
   std::ostringstream text;
   const auto onRead = [&](const boost::system::error_code& aError,
                           std::size_t) {
-    if (!aError) {
+    if (!aError && parser.get().chunked()) {
       text << parser.get();
+    } else if (!aError) {
+      text << FormatHead(parser.get()) << parser.get().body();
     }
   };
   const auto onConnect = [&](const boost::system::error_code& aError) {
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -1,5 +1,6 @@
 #include "PlatformHarness.h"
 
+#include "edge/MessageFields.h"
 #include "platform/Adapter.h"
 #include "platform/RecordFormat.h"
 #include "serve/CallerHandler.h"
--- a/test/ServedPlatform.cpp
+++ b/test/ServedPlatform.cpp
@@ -1,6 +1,7 @@
 #include "ServedPlatform.h"
 
 #include "CallerSocket.h"
+#include "edge/MessageFields.h"
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -18,6 +19,10 @@
 constexpr Millis kStartTimeout{ 30000 };
 constexpr Millis kStartPollInterval{ 50 };
 constexpr Millis kHangTime{ 60000 };
+/** Heads that the stand-ins take. */
+constexpr std::uint32_t kMaxStandInHeader = 1U << 20U;
+/** Fields from this length on are kept. */
+constexpr std::size_t kLongField = 4096;
 /** Of the descriptors, those that the platform keeps for files. */
 constexpr std::size_t kFileDescriptors = 200;
 
@@ -58,7 +63,7 @@
   const json::object team{ { "name", "team-one" },
                            { "api_keys", json::array{ aVersion.key } } };
   const json::object limits{
-    { "max_header_bytes", 16384 },
+    { "max_header_bytes", aLimits.maxHeaderBytes },
     { "max_body_bytes", aLimits.maxBodyBytes },
     { "header_timeout_ms", aLimits.headerTimeout.count() },
     { "idle_timeout_ms", aLimits.idleTimeout.count() }
@@ -174,6 +179,14 @@
   return this->engineAttempts.contains(aAttempt);
 }
 
+bool
+ServedPlatform::HasEngineReceivedField(const std::string& aName,
+                                       const std::string& aValue) const
+{
+  const std::lock_guard<std::mutex> lock(this->attemptsMutex);
+  return this->engineFields.contains({ aName, aValue });
+}
+
 void
 ServedPlatform::Configure(const PlatformVersion& aVersion,
                           const PlatformLimits& aLimits)
@@ -215,6 +228,7 @@
 {
   HttpLimits serverLimits;
   serverLimits.maxBodyBytes = 2 * this->limits.maxBodyBytes;
+  serverLimits.maxHeaderBytes = kMaxStandInHeader;
   this->servers.push_back(std::make_unique<HttpServer>(
     this->pool, serverLimits, std::move(aHandler)));
   const auto listening = this->servers.back()->Listen(aEndpoint);
@@ -251,6 +265,11 @@
   {
     const std::lock_guard<std::mutex> lock(this->attemptsMutex);
     this->engineAttempts.insert(HeaderOf(aRequest, "Attempt-Id"));
+    VisitFields(aRequest, [&](std::string_view aName, std::string_view aValue) {
+      if (aValue.size() >= kLongField) {
+        this->engineFields.emplace(aName, aValue);
+      }
+    });
   }
   ++this->engineRequests;
   if (aRequest.target() == "/book/hang") {
@@ -264,7 +283,7 @@
     path.starts_with("/chat/") || path.starts_with("/keep/");
   HttpResponse response = MakeResponse(
     200, std::string(this->limits.responseBytes, 'r'), "text/plain");
-  response.set("Attempt-Id", HeaderOf(aRequest, "Attempt-Id"));
+  SetField(response, "Attempt-Id", HeaderOf(aRequest, "Attempt-Id"));
   response.set("Response-Seal", "seal");
   if (!isStream && silence == Millis(0)) {
     co_await aResponder.Send(std::move(response));
--- a/test/ServedPlatform.h
+++ b/test/ServedPlatform.h
@@ -29,6 +29,7 @@
   std::size_t memoryMb = 160; // of the daemon's machine
   std::size_t maxDescriptors = 4100;
   std::size_t maxBodyBytes = std::size_t{ 4 } << 20U;
+  std::size_t maxHeaderBytes = std::size_t{ 16 } << 10U;
   Millis headerTimeout{ 120000 }; // so that clients that wait stay
   Millis idleTimeout{ 120000 };
   Millis routeTimeout{ 5000 };
@@ -89,8 +90,11 @@
 
   /** Whether the engine has received a request with this id. */
   [[nodiscard]] bool HasEngineReceived(const std::string& aAttempt) const;
+  /** Whether the engine has received a field with this value. */
+  [[nodiscard]] bool HasEngineReceivedField(const std::string& aName,
+                                            const std::string& aValue) const;
   /** Writes another version of the configuration to the store.
-   * \param aLimits those that it states: of bodies, times and routes */
+   * \param aLimits those that it states: of heads, bodies, times and routes */
   void Configure(const PlatformVersion& aVersion,
                  const PlatformLimits& aLimits);
 
@@ -125,6 +129,8 @@
   std::atomic<std::size_t> engineRequests{ 0 };
   mutable std::mutex attemptsMutex;
   std::set<std::string> engineAttempts; // guarded by attemptsMutex
+  /** Long fields that the engine has received; guarded by attemptsMutex. */
+  std::set<std::pair<std::string, std::string>> engineFields;
   WorkerPool pool{ 1 };
   standin::PlatformStore store;
   standin::PlatformCloud cloud;
--- a/test/error/CallerErrors.cpp
+++ b/test/error/CallerErrors.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/CallerApi.h"
 #include "edge/HttpExchange.h"
+#include "edge/MessageFields.h"
 
 #include <catch2/catch.hpp>
 
