An exception of one connection ends that connection only

Any exception of a coroutine ended the process, as if an invariant were broken, and with it the requests of all other callers.

Change: an exception in the task of a connection closes it, is counted and logged (connection.failed); one that a datagram of another daemon causes drops the datagram (peers.failed). Broken invariants abort as before, and exceptions elsewhere still end the process: there they come from our own code.

Way not taken: to catch in Worker::Spawn. Tasks that run for the life of the process would end silently.

No input is known now that makes a connection throw.

--- a/src/edge/HttpServer.cpp
+++ b/src/edge/HttpServer.cpp
@@ -216,7 +216,7 @@
     if (this->closing) {
       counted.emplace(this->inProgress);
     }
-    keepOpen = co_await this->ServeRequest(aWorker, *aConnection);
+    keepOpen = co_await this->TryServeRequest(aWorker, *aConnection);
     RequestReader::Release(*aConnection);
     keepOpen = keepOpen && !aConnection->place->IsClosing();
   }
@@ -242,6 +242,19 @@
   co_return !error;
 }
 
+Task<bool>
+HttpServer::TryServeRequest(Worker& aWorker, ClientConnection& aConnection)
+{
+  // What a peer sends can make a library throw. Without this, it would end the
+  // process, and the requests of all other peers with it.
+  try {
+    co_return co_await this->ServeRequest(aWorker, aConnection);
+  } catch (const std::exception& error) {
+    this->limits.onException(error.what());
+  }
+  co_return false;
+}
+
 Task<bool>
 HttpServer::ServeRequest(Worker& aWorker, ClientConnection& aConnection)
 {
--- a/src/edge/HttpServer.h
+++ b/src/edge/HttpServer.h
@@ -34,6 +34,9 @@
    * the request's, and empty when its head is incomplete. */
   std::function<void(const http::fields&, HttpResponse&)> onRejection =
     [](const http::fields&, HttpResponse&) {};
+  /** Called with the reason when a request ends with an exception. Its
+   * connection is closed; other connections are not affected. */
+  std::function<void(std::string_view)> onException = [](std::string_view) {};
 };
 
 struct ClientConnection;
@@ -96,6 +99,8 @@
   Task<bool> AwaitRequest(ClientConnection& aConnection);
   /** \return whether the connection may serve another request */
   Task<bool> ServeRequest(Worker& aWorker, ClientConnection& aConnection);
+  /** The same; an exception ends the connection only. */
+  Task<bool> TryServeRequest(Worker& aWorker, ClientConnection& aConnection);
   Task<void> Reject(ClientConnection& aConnection, ReadFailure aFailure);
 
   WorkerPool& pool;
--- a/src/serve/PeerMessenger.h
+++ b/src/serve/PeerMessenger.h
@@ -122,6 +122,8 @@
   Task<void> SendClearedSuspects();
   void SendEvidence(const std::vector<std::string>& aCandidates);
   void HandleDatagram(const serving::Datagram& aDatagram);
+  /** The same. \return false if its contents made a library throw */
+  bool TryHandleDatagram(const serving::Datagram& aDatagram);
   /** Discards all received datagrams. After a pause they may be outdated, and
    * taken as new they would show daemons to be live that have failed since. */
   void DiscardReceived();
--- a/src/serve/PeerReceive.cpp
+++ b/src/serve/PeerReceive.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 
 namespace toucanshed {
 
@@ -46,8 +47,8 @@
       !error && datagram.ParseFromArray(buffer.data(), static_cast<int>(size));
     if (valid) {
       this->traffic.RecordReceived(datagram, size);
-      this->HandleDatagram(datagram);
-    } else {
+    }
+    if (!valid || !this->TryHandleDatagram(datagram)) {
       this->state.metrics.Count("toucanshed_unreadable_words_total");
     }
   }
@@ -67,6 +68,20 @@
   this->state.log.Emit(Event("peers.discarded").With("datagrams", discarded));
 }
 
+bool
+PeerMessenger::TryHandleDatagram(const serving::Datagram& aDatagram)
+{
+  // Any process can send to the port.
+  try {
+    this->HandleDatagram(aDatagram);
+    return true;
+  } catch (const std::exception& error) {
+    this->state.log.Emit(
+      Event("peers.failed").With("reason", std::string(error.what())));
+  }
+  return false;
+}
+
 void
 PeerMessenger::HandleDatagram(const serving::Datagram& aDatagram)
 {
--- a/src/serve/ServingDaemon.cpp
+++ b/src/serve/ServingDaemon.cpp
@@ -123,6 +123,11 @@
                                      HttpResponse& aResponse) {
     this->CompleteRejection(aPort, aFields, aResponse);
   };
+  limits.onException = [this](std::string_view aReason) {
+    this->state.metrics.Count("toucanshed_failed_connections_total");
+    this->state.log.Emit(
+      Event("connection.failed").With("reason", std::string(aReason)));
+  };
   return limits;
 }
 
--- a/test/error/HttpErrors.cpp
+++ b/test/error/HttpErrors.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
+#include <vector>
 
 namespace toucanshed::test {
 namespace {
@@ -103,4 +105,40 @@
   CHECK(response.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against one client's bytes that make a library throw and end the
+// process, with the requests of all other clients.
+TEST_CASE("an exception of one request ends its connection only")
+{
+  WorkerPool pool(1);
+  std::vector<std::string> reasons;
+  HttpLimits limits = TightLimits();
+  limits.onException = [&reasons](std::string_view aReason) {
+    reasons.emplace_back(aReason);
+  };
+  HttpServer server(pool,
+                    limits,
+                    [](Worker&,
+                       const HttpRequest& aRequest,
+                       HttpResponder& aResponder) -> Task<void> {
+                      co_await Sleep(std::chrono::milliseconds(20));
+                      if (aRequest.target() == "/throws") {
+                        throw std::length_error("field value too large");
+                      }
+                      HttpResponse message = MakeResponse(200, "fine");
+                      co_await aResponder.Send(std::move(message));
+                    });
+  const Endpoint endpoint(net::ip::make_address("127.77.0.2"), 21106);
+  REQUIRE(server.Listen(endpoint));
+  const std::string rest = " HTTP/1.1\r\nConnection: close\r\n\r\n";
+  std::string other;
+  std::string thrown = "nothing";
+  pool.First().Spawn(Exchange(pool, endpoint, "GET /other" + rest, other));
+  RunOn(pool, Exchange(pool, endpoint, "GET /throws" + rest, thrown));
+  std::string later;
+  RunOn(pool, Exchange(pool, endpoint, "GET /later" + rest, later));
+  CHECK(other.starts_with("HTTP/1.1 200"));
+  CHECK(later.starts_with("HTTP/1.1 200"));
+  CHECK(reasons == std::vector<std::string>{ "field value too large" });
+}
+
 } // namespace toucanshed::test
