--- a/src/serve/RelayFields.cpp
+++ b/src/serve/RelayFields.cpp
@@ -2,6 +2,7 @@
 
 #include "edge/MessageFields.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 
@@ -19,6 +20,8 @@
 constexpr const char* kRefused = "refused";
 constexpr const char* kNotRun = "not-run";
 constexpr const char* kMayHaveRun = "may-have-run";
+/** Longer than any request runs. */
+constexpr std::uint64_t kMaxTimeMs = 24ULL * 3600 * 1000;
 
 const char*
 ToText(RelayOutcome::Kind aKind)
@@ -84,7 +87,8 @@
   if (terms.from.Empty() || !timeLeft || !catalog) {
     return Fail(ErrorCode::eInvalid, "no relayed request");
   }
-  terms.timeLeft = Millis(*timeLeft);
+  terms.timeLeft =
+    Millis(static_cast<std::int64_t>(std::min(*timeLeft, kMaxTimeMs)));
   terms.catalogVersion = *catalog;
   return terms;
 }
@@ -112,7 +116,8 @@
   outcome.sends =
     static_cast<unsigned>(NumberOf(aFields, kSendsField).value_or(1));
   if (const auto wait = NumberOf(aFields, kRetryAfterField)) {
-    outcome.retryAfter = Millis(*wait);
+    outcome.retryAfter =
+      Millis(static_cast<std::int64_t>(std::min(*wait, kMaxTimeMs)));
   }
   return outcome;
 }
--- a/test/fuzz/HeadFuzz.cpp
+++ b/test/fuzz/HeadFuzz.cpp
@@ -1,4 +1,5 @@
 #include "edge/MessageFields.h"
+#include "platform/RecordFormat.h"
 #include "platform/RequestFormat.h"
 
 #include <boost/asio/buffer.hpp>
@@ -6,7 +7,8 @@
 #include <rapidcheck.h>
 
 // Checks that heads of any size are read, passed on and written with the values
-// that they had.
+// that they had, and that no number of a configuration makes the code that uses
+// it throw or overflow.
 
 namespace toucanshed::test {
 namespace {
@@ -136,4 +138,43 @@
   CHECK(holds);
 }
 
+// Guards against a limit of the configuration that wraps to a small one, or
+// overflows where it is added to a time or to another size.
+TEST_CASE("any number in a configuration is read as a usable limit")
+{
+  const std::vector<std::string> numbers = {
+    "0",          "1",          "16384",
+    "65533",      "65536",      "131072",
+    "2147483648", "4294967295", "4294967296",
+    "4294983680", "1e18",       "9223372036854775807",
+    "1e300",      "-1",         "18446744073709551615"
+  };
+  for (const std::string& number : numbers) {
+    const auto catalog = platform::ParseCatalog(
+      R"({"version":1,"limits":{"max_header_bytes":)" + number +
+      R"(,"max_body_bytes":)" + number + R"(,"header_timeout_ms":)" + number +
+      R"(,"idle_timeout_ms":)" + number +
+      R"(},"routes":[{"name":"r","host":"h","path_prefix":"/","max_attempts":)" +
+      number + R"(,"timeout_ms":)" + number + "}]}");
+    INFO(number);
+    REQUIRE(catalog.has_value());
+    const RequestLimits& limits = catalog->requestLimits;
+    const double stated = std::max(0.0, std::stod(number));
+    CHECK(static_cast<double>(limits.maxHeaderBytes) >=
+          std::min(stated, 1024.0 * 1024 * 1024));
+    CHECK(limits.maxHeaderBytes + std::uint32_t{ 4096 } > 4095);
+    CHECK(static_cast<double>(limits.maxBodyBytes) >=
+          std::min(stated, 1024.0 * 1024 * 1024 * 1024));
+    CHECK(limits.maxBodyBytes <= 1ULL << 40U);
+    for (const Millis time : { limits.headerTimeout,
+                               limits.idleTimeout,
+                               catalog->routes.front().timeout }) {
+      const auto later = std::chrono::steady_clock::now() + time;
+      CHECK((number == "-1" ||
+             later >= std::chrono::steady_clock::now() - Millis(100)));
+    }
+    CHECK(catalog->routes.front().maxBackends >= 1);
+  }
+}
+
 } // namespace toucanshed::test
