--- a/src/serve/BackendSend.cpp
+++ b/src/serve/BackendSend.cpp
@@ -106,6 +106,7 @@
   this->sentAt = ServingState::Now();
   this->responseStarted = false;
   this->responseFailed = false;
+  this->responseWhole = false;
   this->transportFailed = false;
   this->timedOut = false;
   this->failureCause = FailureCause::eEngine;
--- a/src/serve/CrashEvidence.cpp
+++ b/src/serve/CrashEvidence.cpp
@@ -112,7 +112,7 @@
 Task<void>
 RequestForwarder::CheckForCrash(InstanceId aBackend)
 {
-  if (this->crashKnown) {
+  if (this->crashKnown || this->responseWhole) {
     co_return;
   }
   CrashCheck check = this->MakeCrashCheck(aBackend);
--- a/src/serve/RequestForwarder.h
+++ b/src/serve/RequestForwarder.h
@@ -310,6 +310,7 @@
   bool resumes = false; // the current send asks for the rest of a response
   std::size_t stagesRecorded = 0; // of the current response
   bool responseFailed = false;    // the current response reports a failure
+  bool responseWhole = false;     // so its back end did not crash
   bool engineLeaving = false;     // by the current response
   Millis engineRest{ 0 };         // that the current response asks for
   TimePoint responseStartedAt;    // start of the current response
--- a/src/serve/ResponseRelay.cpp
+++ b/src/serve/ResponseRelay.cpp
@@ -423,6 +423,7 @@
   if (crashed) {
     co_return SendOutcome::eMayHaveRun;
   }
+  this->responseWhole = true;
   this->RecordData(ServingState::Now());
   const bool failed = status >= kServerError || aIsFalsePromise;
   this->responseFailed = failed;
