An odd entry takes an engine away until it is renewed, at all daemons

Cause: the reader of the list gave an unusable entry the mark of one that leaves, and told the others that the engine leaves. They recorded that for the incarnation, for good, and told the reader so in their heartbeats.

Change: a report says whether an entry is unusable, and its receiver does what the reader does: the engine gets nothing until the next entry. Only what the engine says itself, or an entry that can be read, makes it leave.

--- a/src/coord/ListRevisions.h
+++ b/src/coord/ListRevisions.h
@@ -23,7 +23,8 @@
   std::optional<std::string> value; // nothing: the entry is gone
   StorePosition position;
   TimePoint readAt;
-  bool leaving = false; // the rest of the entry no longer matters
+  bool leaving = false;  // the rest of the entry no longer matters
+  bool unusable = false; // the entry names no engine to use
 };
 
 /**
--- a/src/serve/BackendList.cpp
+++ b/src/serve/BackendList.cpp
@@ -172,6 +172,21 @@
   }
 }
 
+void
+ApplyUnusable(ServingState& aState,
+              const InstanceId& aId,
+              StorePosition aPosition,
+              const BackendListRead& aRead)
+{
+  const Backend* backend = aState.backends.Find(aId);
+  const bool changed = aState.listRevisions.TryAdvance(aId.value, aPosition) &&
+                       backend != nullptr && !backend->leaving;
+  if (changed) {
+    LogBackendChange(aState, *backend, "unusable", aPosition, aRead);
+    aState.backends.MarkEntryUnusable(aId);
+  }
+}
+
 void
 ReplaceBackendList(ServingState& aState,
                    const TopicPage& aPage,
--- a/src/serve/BackendList.h
+++ b/src/serve/BackendList.h
@@ -37,6 +37,14 @@
              StorePosition aPosition,
              const BackendListRead& aRead);
 
+/** Applies the record at aPosition, which names no engine to use: its back end
+ * gets no requests until its entry is renewed. */
+void
+ApplyUnusable(ServingState& aState,
+              const InstanceId& aId,
+              StorePosition aPosition,
+              const BackendListRead& aRead);
+
 /** Applies the whole list. Back ends that are not in it are removed. */
 void
 ReplaceBackendList(ServingState& aState,
--- a/src/serve/PeerReports.cpp
+++ b/src/serve/PeerReports.cpp
@@ -210,7 +210,9 @@
     // A reclaim of a failure domain changes tens of entries at once. Without
     // their values the datagram is 10 times shorter and reaches 88 daemons over
     // a link of 10 Mbit/s in 0.1 s instead of one.
-    record->set_value(change.leaving ? "" : change.value.value_or(""));
+    record->set_unusable(change.unusable);
+    const bool hasValue = !change.leaving && !change.unusable;
+    record->set_value(hasValue ? change.value.value_or("") : "");
   }
 }
 
--- a/src/serve/StoreWatcher.cpp
+++ b/src/serve/StoreWatcher.cpp
@@ -264,8 +264,10 @@
   change.value = aRecord.value;
   change.position = aRecord.position;
   change.readAt = ServingState::Now();
-  change.leaving =
+  const bool isUnused =
     aRecord.value && backend != nullptr && backend->entry.leaving;
+  change.unusable = isUnused && backend->entryUnusable;
+  change.leaving = isUnused && !change.unusable;
   aState.listRevisions.AddChange(std::move(change));
 }
 
@@ -362,6 +364,11 @@
         aState, InstanceId{ entry.key() }, Unpack(entry.position()), read);
       continue;
     }
+    if (entry.unusable()) {
+      ApplyUnusable(
+        aState, InstanceId{ entry.key() }, Unpack(entry.position()), read);
+      continue;
+    }
     KeyedRecord record;
     record.key = entry.key();
     record.position = Unpack(entry.position());
--- a/test/failure/OddEntryTest.cpp
+++ b/test/failure/OddEntryTest.cpp
@@ -175,6 +175,39 @@
   }(harness));
 }
 
+// Guards against daemons that tell each other for good that an engine leaves,
+// when another writer has overwritten its entry once.
+TEST_CASE("all daemons use an engine again once it renews its entry")
+{
+  PlatformHarness harness(26100);
+  harness.AddEngine("e1", "plain");
+  harness.store.AppendKeyed(kServers, "e1", harness.EntryOf("e1"));
+  ServingState& peer = harness.AddPeerDaemon();
+  harness.Run([](PlatformHarness& aHarness, ServingState& aPeer) -> Task<void> {
+    co_await Sleep(Millis(500)); // until heartbeats have been exchanged
+    for (ServingState* daemon : { aHarness.state.get(), &aPeer }) {
+      daemon->backendsRead = false;
+      daemon->pool.First().Spawn(WatchBackendList(*daemon));
+    }
+    co_await WaitForListRead();
+    aHarness.store.AppendKeyed(kServers, "e1", "no entry");
+    co_await WaitForListRead();
+    const std::size_t meanwhile = co_await aHarness.SendRequests(1);
+    CHECK(meanwhile == 0);
+    for (int i = 0; i < 3; ++i) {
+      aHarness.store.AppendKeyed(kServers, "e1", aHarness.EntryOf("e1"));
+      co_await WaitForListRead();
+    }
+    const std::size_t served = co_await aHarness.SendRequests(4);
+    CHECK(served == 4);
+    CallerMessage message;
+    message.path = "/look/1";
+    const CallerResponse atPeer =
+      co_await aHarness.SendRequestToPeer(std::move(message));
+    CHECK(atPeer.status == 200);
+  }(harness, peer));
+}
+
 // Guards against an engine that leaves coming back by the same rule.
 TEST_CASE("an engine that leaves stays unused after an overwritten entry")
 {
