A test of probed connections waits for the acknowledgement of the request

Cause: the kernel shows one timer of a connection, and the retransmission timer goes first. The test reads the table as soon as the engine has the request, when the daemon's kernel may lack its acknowledgement.

Change: the count is taken when no such timer runs, at most a second later. What is checked is the same; so is the check of calls that may not be repeated.

--- a/test/clients/SilentEngineTest.cpp
+++ b/test/clients/SilentEngineTest.cpp
@@ -84,12 +84,18 @@
   return whole;
 }
 
-/** Connections to the server on which the kernel's keep-alive timer runs. */
+constexpr std::chrono::milliseconds kMaxAcknowledgement{ 1000 };
+constexpr std::chrono::milliseconds kAcknowledgementPoll{ 2 };
+
+/** The kernel's timers of connections: it runs one at a time for each. */
+constexpr const char* kRetransmitTimer = "01"; // bytes are not acknowledged yet
+constexpr const char* kKeepAliveTimer = "02";
+
+/** Connections to the server on which the timer runs. */
 std::size_t
-CountProbed(const Endpoint& aServer)
+CountWithTimer(const Endpoint& aServer, const char* aTimer)
 {
   constexpr int kHex = 16;
-  const std::string kKeepAliveTimer = "02";
   std::ifstream table("/proc/net/tcp");
   std::string line;
   std::getline(table, line); // the names of the columns
@@ -105,8 +111,7 @@
     columns >> number >> local >> remote >> state >> queues >> timer;
     const int port =
       std::stoi(remote.substr(remote.find(':') + 1), nullptr, kHex);
-    count +=
-      port == aServer.port() && timer.starts_with(kKeepAliveTimer) ? 1 : 0;
+    count += port == aServer.port() && timer.starts_with(aTimer) ? 1 : 0;
   }
   return count;
 }
@@ -122,7 +127,13 @@
   while (platform.EngineRequests() == before) {
     std::this_thread::sleep_for(kCallerInterval);
   }
-  return CountProbed(platform.engine);
+  // The engine reads a request before the kernel has its acknowledgement.
+  const auto end = std::chrono::steady_clock::now() + kMaxAcknowledgement;
+  while (CountWithTimer(platform.engine, kRetransmitTimer) > 0 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kAcknowledgementPoll);
+  }
+  return CountWithTimer(platform.engine, kKeepAliveTimer);
 }
 
 } // namespace
