--- a/src/serve/DutyTasks.cpp
+++ b/src/serve/DutyTasks.cpp
@@ -81,7 +81,7 @@
   if (this->state.settings.scalesEngines) {
     co_await this->ScaleEngines();
   }
-  // Daemons that were not heard since a pause look as if they had ended.
+  // Daemons without a heartbeat since a pause look as if they had ended.
   const bool knowsLive =
     !this->state.limitShares.HasResumed(ServingState::Now());
   if (this->state.settings.reportsUsage && knowsLive && this->HoldsDuties()) {
